--- /dev/null
+++ b/include/hornbeamweir/http/connection_pool.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <hornbeamweir/core/error.hpp>
+#include <hornbeamweir/core/time.hpp>
+#include <hornbeamweir/http/http_exchange.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace hornbeamweir
+{
+
+/// \brief Handlers of a pooled call; failed comes instead of ended.
+struct pooled_call_handlers
+{
+    std::function<void(unsigned status, header_list headers)> head;
+    std::function<void(std::string bytes)> data;
+    std::function<void()> ended;
+    /// Receives whether the server may have received the request.
+    std::function<void(error failure, bool sent)> failed;
+};
+
+struct pooled_call_options
+{
+    /// Whether the call must not use a kept connection, which may be stale.
+    bool fresh_connection = false;
+    duration connect_timeout = std::chrono::milliseconds{1000};
+    /// Time for the whole call.
+    duration timeout = std::chrono::seconds{60};
+    /// Field that the answer repeats from the request; answers with another
+    /// value belong to earlier requests and are skipped. Empty for none.
+    std::string echoed_field;
+};
+
+/// \brief One call; its connection is closed if it is destroyed before the
+/// end, and no handler is called afterwards.
+class pooled_call
+{
+public:
+    pooled_call() = default;
+    pooled_call(pooled_call const&) = delete;
+    pooled_call& operator=(pooled_call const&) = delete;
+    virtual ~pooled_call() = default;
+
+    /// \brief Stops or resumes reading of the body.
+    virtual void pause(bool paused) = 0;
+};
+
+/// \brief HTTP/1.1 client that keeps connections open between calls.
+class connection_pool
+{
+public:
+    struct counters
+    {
+        std::uint64_t opened = 0;
+        std::uint64_t reused = 0;
+        /// Answers that belonged to an earlier request.
+        std::uint64_t skipped = 0;
+    };
+
+    /// \param max_idle Idle connections that are kept for each server.
+    connection_pool(boost::asio::io_context& context, std::size_t max_idle);
+    connection_pool(connection_pool const&) = delete;
+    connection_pool& operator=(connection_pool const&) = delete;
+    ~connection_pool();
+
+    /// \brief Sends a request.
+    /// \remarks Handlers are never called from within this function.
+    [[nodiscard]] std::unique_ptr<pooled_call> call(
+        boost::asio::ip::tcp::endpoint const& server,
+        http_request_message request,
+        pooled_call_options options,
+        pooled_call_handlers handlers);
+
+    [[nodiscard]] counters totals() const noexcept;
+
+    class impl;
+
+private:
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace hornbeamweir
--- a/include/hornbeamweir/http/http_server.hpp
+++ b/include/hornbeamweir/http/http_server.hpp
@@ -20,6 +20,8 @@
     std::uint32_t max_connections = 10'000;
     /// Time for one header and body to arrive, or one write to be taken.
     duration read_timeout = std::chrono::seconds{10};
+    /// Time for a new connection's first request to begin.
+    duration first_request_timeout = std::chrono::seconds{10};
     /// Time that an idle connection is kept.
     duration idle_timeout = std::chrono::seconds{60};
 
@@ -54,9 +56,15 @@
     http_server& operator=(http_server const&) = delete;
     ~http_server();
 
+    /// \brief Closes connections after their next answer, and tells callers so.
+    void close_after_answers();
+
     /// \brief Accepts no more connections; open ones close after their answer.
     void stop_accepting();
 
+    /// \brief Applies to what is read from now on.
+    void set_limits(http_limits const& limits);
+
     /// \brief Port that was bound.
     [[nodiscard]] std::uint16_t port() const;
 
--- /dev/null
+++ b/include/hornbeamweir/peers/datagram_link.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+#include <peers.pb.h>
+#include <string>
+
+namespace hornbeamweir
+{
+
+/// \brief Exchanges datagrams with the system's other processes.
+/// \remarks Carries soft state only: what is lost is told again. Datagrams
+/// need no connection, which could go silent unnoticed.
+class datagram_link
+{
+public:
+    using endpoint = boost::asio::ip::udp::endpoint;
+    using handler =
+        std::function<void(endpoint const& from, wire::datagram const&)>;
+
+    /// \brief Binds; throws boost::system::system_error.
+    /// \param incarnation Random number of this start of the process.
+    datagram_link(
+        boost::asio::io_context& context,
+        endpoint const& local,
+        std::string role,
+        std::string sender,
+        std::uint64_t incarnation,
+        handler received);
+    datagram_link(datagram_link const&) = delete;
+    datagram_link& operator=(datagram_link const&) = delete;
+    ~datagram_link() = default;
+
+    /// \brief Sends a datagram, with this process as its sender.
+    void send(endpoint const& to, wire::datagram message);
+
+    [[nodiscard]] std::uint64_t undecodable() const noexcept
+    {
+        return undecodable_;
+    }
+
+private:
+    static constexpr std::size_t max_size = std::size_t{60} * 1024;
+
+    void receive();
+    void on_received(std::size_t size);
+
+    boost::asio::ip::udp::socket socket_;
+    std::string role_;
+    std::string sender_;
+    std::uint64_t incarnation_;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t undecodable_ = 0;
+    handler received_;
+    endpoint from_;
+    std::array<char, max_size> buffer_{};
+};
+
+} // namespace hornbeamweir
--- /dev/null
+++ b/include/hornbeamweir/peers/peer_registry.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <hornbeamweir/core/identifier.hpp>
+#include <hornbeamweir/core/time.hpp>
+#include <hornbeamweir/platform/platform.hpp>
+#include <hornbeamweir/telemetry/event_log.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+
+namespace hornbeamweir
+{
+
+/// \brief Registers this process in the platform's store, bound to a lease,
+/// and finds the others there.
+/// \remarks Reads rarely: a process that starts reads all earlier ones and
+/// sends to them, by which they learn of it.
+class peer_registry
+{
+public:
+    using endpoint = boost::asio::ip::udp::endpoint;
+
+    /// \param role Kind of the process, such as "entry".
+    peer_registry(
+        boost::asio::io_context& context,
+        platform& service,
+        event_log& log,
+        std::string role,
+        process_name self,
+        endpoint local);
+    peer_registry(peer_registry const&) = delete;
+    peer_registry& operator=(peer_registry const&) = delete;
+    ~peer_registry() = default;
+
+    void start() { grant(); }
+
+    /// \brief Notes a process from which a datagram came.
+    void on_heard(
+        process_name const& who, std::string_view role, endpoint const& from);
+
+    [[nodiscard]] std::map<process_name, endpoint> const&
+    peers(std::string const& role) const;
+
+    /// \brief Lease to which this process's keys are bound; 0 before it is
+    /// granted.
+    [[nodiscard]] std::int64_t lease() const noexcept { return lease_; }
+
+private:
+    void grant();
+    void on_granted(result<std::int64_t> const& lease);
+    void keep();
+    void read();
+    void on_read(result<range_reply> const& reply);
+    void after(
+        boost::asio::steady_timer& timer,
+        duration delay,
+        void (peer_registry::*)());
+
+    platform& platform_;
+    event_log& log_;
+    std::string role_;
+    process_name self_;
+    endpoint local_;
+    boost::asio::steady_timer lease_timer_;
+    boost::asio::steady_timer read_timer_;
+    std::int64_t lease_ = 0;
+    std::map<std::string, std::map<process_name, endpoint>> peers_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace hornbeamweir
--- /dev/null
+++ b/include/hornbeamweir/relay/relay_codec.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <hornbeamweir/core/error.hpp>
+#include <hornbeamweir/http/http_exchange.hpp>
+#include <hornbeamweir/relay/relay_action.hpp>
+#include <hornbeamweir/routes/route_configuration.hpp>
+
+#include <string_view>
+
+namespace hornbeamweir
+{
+
+/// \brief Translates between a deployment's messages and the relay's types.
+class relay_codec
+{
+public:
+    relay_codec() = default;
+    relay_codec(relay_codec const&) = delete;
+    relay_codec& operator=(relay_codec const&) = delete;
+    virtual ~relay_codec() = default;
+
+    [[nodiscard]] virtual relay_request
+    decode_request(http_request_message message) const = 0;
+    [[nodiscard]] virtual http_request_message encode_attempt(
+        relay_request const& request,
+        relay::open_attempt const& attempt) const = 0;
+    [[nodiscard]] virtual replica_answer
+    decode_answer(unsigned status, header_list headers) const = 0;
+    /// \brief Field by which an answer names its request.
+    [[nodiscard]] virtual std::string echoed_field() const = 0;
+    /// \brief Path of the balancer's question whether callers may come.
+    [[nodiscard]] virtual std::string readiness_path() const = 0;
+
+    /// \brief Key of the newest configuration in the platform's store.
+    [[nodiscard]] virtual std::string configuration_key() const = 0;
+    [[nodiscard]] virtual result<route_configuration>
+    decode_configuration(std::string_view bytes) const = 0;
+    /// \brief Prefix of the keys under which replicas register.
+    [[nodiscard]] virtual std::string replica_prefix() const = 0;
+    [[nodiscard]] virtual result<replica>
+    decode_replica(std::string_view key, std::string_view bytes) const = 0;
+};
+
+} // namespace hornbeamweir
--- /dev/null
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -0,0 +1,215 @@
+#pragma once
+
+#include <hornbeamweir/admission/fair_queue.hpp>
+#include <hornbeamweir/relay/event_splitter.hpp>
+#include <hornbeamweir/relay/load_board.hpp>
+#include <hornbeamweir/relay/relay_action.hpp>
+#include <hornbeamweir/relay/replica_chooser.hpp>
+#include <hornbeamweir/relay/retry_allowance.hpp>
+#include <hornbeamweir/relay/return_planner.hpp>
+#include <hornbeamweir/replicas/replica_directory.hpp>
+#include <hornbeamweir/routes/route_book.hpp>
+#include <hornbeamweir/routing/failure_tracker.hpp>
+#include <hornbeamweir/routing/routing_policy.hpp>
+#include <hornbeamweir/telemetry/event_log.hpp>
+#include <hornbeamweir/telemetry/metrics_registry.hpp>
+
+#include <set>
+
+namespace hornbeamweir::relay
+{
+
+struct relay_settings
+{
+    data_centre_id data_centre;
+    /// Age of the proof of the configuration beyond which keys are not
+    /// accepted; kept below the time in which a withdrawn key must stop.
+    duration proof_limit = std::chrono::milliseconds{4500};
+    retry_limits retries;
+
+    [[nodiscard]] friend bool
+    operator==(relay_settings const&, relay_settings const&) = default;
+};
+
+/// \brief How far a failed attempt had got.
+enum class attempt_progress
+{
+    not_sent,
+    sent
+};
+
+/// \brief Takes requests from callers to replicas of their routes' services.
+/// \remarks Sans-I/O. Each request ends with exactly one of send_end, refuse
+/// and cut, unless the caller goes first. A request that may be executed only
+/// once is sent again only if nothing can have executed it.
+class relay_core
+{
+public:
+    relay_core(
+        relay_settings settings,
+        event_log& log,
+        metrics_registry& metrics,
+        random_source random);
+
+    // What is known of the world.
+    [[nodiscard]] route_book& routes() noexcept { return book_; }
+    [[nodiscard]] replica_directory& replicas() noexcept { return directory_; }
+    [[nodiscard]] load_board& loads() noexcept { return board_; }
+    void update(relay_settings const& settings) { settings_ = settings; }
+
+    // Requests.
+    [[nodiscard]] actions
+    on_request(relay_number number, relay_request request, time_point now);
+    [[nodiscard]] actions on_caller_gone(relay_number number, time_point now);
+
+    // Attempts; what comes of an earlier one than the current is dropped.
+    [[nodiscard]] actions on_head(
+        relay_number number,
+        std::uint32_t attempt,
+        replica_answer answer,
+        time_point now);
+    [[nodiscard]] actions on_data(
+        relay_number number,
+        std::uint32_t attempt,
+        std::string bytes,
+        time_point now);
+    [[nodiscard]] actions
+    on_end(relay_number number, std::uint32_t attempt, time_point now);
+    [[nodiscard]] actions on_failed(
+        relay_number number,
+        std::uint32_t attempt,
+        attempt_progress progress,
+        std::string const& reason,
+        time_point now);
+
+    [[nodiscard]] actions on_tick(time_point now);
+
+    /// \returns Null for a request that has ended.
+    [[nodiscard]] relay_request const* request_of(relay_number number) const
+    {
+        auto const it = records_.find(number);
+        return it == records_.end() ? nullptr : &it->second.request;
+    }
+
+    /// \brief Whether requests with a key can be served now.
+    [[nodiscard]] bool ready(time_point now) const;
+    [[nodiscard]] std::size_t open_requests() const noexcept
+    {
+        return records_.size();
+    }
+
+private:
+    enum class phase
+    {
+        /// In the queue, for the first attempt.
+        queued,
+        /// Waits for a replica that can take a further attempt.
+        between_attempts,
+        /// Sent; nothing of an answer was passed on.
+        trying,
+        /// A part of the answer was passed on.
+        answering
+    };
+
+    struct record
+    {
+        relay_request request;
+        route rule;
+        service_name service;
+        customer_id customer;
+        phase at = phase::queued;
+        time_point arrived{};
+        time_point deadline{};
+        /// Attempts that may have reached a replica.
+        std::uint32_t attempts = 0;
+        /// Number of the current or last attempt.
+        std::uint32_t attempt = 0;
+        backend_server_id target;
+        std::set<backend_server_id> excluded;
+        time_point attempt_started{};
+        time_point last_progress{};
+        /// Since when a further attempt has been waiting.
+        time_point failed_at{};
+        bool may_have_run = false;
+        /// The answer's head, until its first bytes arrive.
+        std::optional<send_head> pending_head;
+        unsigned status = 0;
+        bool is_event_stream = false;
+        event_splitter events;
+        std::optional<time_point> first_bytes;
+        std::string last_failure;
+    };
+
+    using record_iterator = std::map<relay_number, record>::iterator;
+
+    struct verdict
+    {
+        result_code code = result_code::ok;
+        char const* detail = "";
+        bool another_entry = false;
+    };
+
+    /// State of one service.
+    struct service_state
+    {
+        fair_queue waiting;
+        retry_allowance budget;
+        /// When any of its replicas last sent part of an answer.
+        time_point last_progress{};
+    };
+
+    [[nodiscard]] verdict resolve(record& of, time_point now);
+    [[nodiscard]] service_state& state_of(service_name const& name);
+    [[nodiscard]] std::vector<candidate>
+    candidates_for(record const& of, time_point now) const;
+    [[nodiscard]] step_cost cost_of(service_name const& name) const;
+    [[nodiscard]] bool try_send(record_iterator it, time_point now, actions&);
+    void enqueue(record_iterator it, time_point now, actions& out);
+    void dispatch(service_name const& name, time_point now, actions& out);
+    void dispatch_all(time_point now, actions& out);
+    void send_queued(record_iterator it, time_point now, actions& out);
+    void try_again(
+        record_iterator it,
+        bool ran,
+        std::string const& reason,
+        time_point now,
+        actions& out);
+    [[nodiscard]] bool may_repeat(record const& of, bool ran, time_point now);
+    void give_up(record_iterator it, time_point now, actions& out);
+    void check_time(record_iterator it, time_point now, actions& out);
+    [[nodiscard]] bool is_stuck(record const& of, time_point now);
+    void end_attempt(record& of, attempt_outcome outcome, time_point now);
+    void pass_on(record_iterator it, std::string bytes, actions& out);
+    void reject(
+        record_iterator it,
+        result_code code,
+        execution_state state,
+        std::string detail,
+        std::optional<refusal_reason> reason,
+        time_point now,
+        actions& out);
+    void cut_off(
+        record_iterator it,
+        std::string const& reason,
+        time_point now,
+        actions& out);
+    void log_end(record const& of, std::string_view outcome, time_point now);
+    void forget(record_iterator it);
+    [[nodiscard]] record_iterator
+    current(relay_number number, std::uint32_t attempt);
+
+    relay_settings settings_;
+    event_log& log_;
+    metrics_registry& metrics_;
+    random_source random_;
+    route_book book_;
+    replica_directory directory_;
+    load_board board_;
+    failure_tracker failures_;
+    replica_chooser chooser_;
+    return_planner returns_;
+    std::map<service_name, service_state> services_;
+    std::map<relay_number, record> records_;
+};
+
+} // namespace hornbeamweir::relay
--- /dev/null
+++ b/include/hornbeamweir/relay/replica_chooser.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <hornbeamweir/core/random_source.hpp>
+#include <hornbeamweir/core/time.hpp>
+#include <hornbeamweir/replicas/replica.hpp>
+
+#include <optional>
+#include <span>
+
+namespace hornbeamweir::relay
+{
+
+/// \brief A replica that could take a request.
+struct candidate
+{
+    replica const* target = nullptr;
+    /// Requests open there, of all entries.
+    std::uint32_t in_flight = 0;
+    /// Relative time that it needs for its work; over 1 is slow.
+    double pace = 1;
+    /// Recent failures: 0 is none, 1 is only failures.
+    double failures = 0;
+};
+
+/// \brief Time of a token step, by the number of requests in it.
+struct step_cost
+{
+    duration step = std::chrono::milliseconds{1};
+    duration per_sequence = std::chrono::milliseconds{1};
+};
+
+/// \brief Places each request on the replica whose steps it lengthens least.
+/// \remarks Answers the pattern of replicas that work in lock-step: every
+/// stream of a group waits for the rank with the longest step, so requests go
+/// where the longest step grows least, and slow ranks get fewer of them.
+class replica_chooser
+{
+public:
+    explicit replica_chooser(random_source random) noexcept
+        : random_{random}
+    {
+    }
+
+    /// \param near Data centre that is preferred among equals.
+    /// \returns Nothing if all candidates are full.
+    [[nodiscard]] std::optional<std::size_t> choose(
+        std::span<candidate const> candidates,
+        step_cost const& cost,
+        data_centre_id const& near);
+
+private:
+    random_source random_;
+};
+
+} // namespace hornbeamweir::relay
--- /dev/null
+++ b/include/hornbeamweir/replicas/replica_directory.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <hornbeamweir/core/time.hpp>
+#include <hornbeamweir/replicas/replica.hpp>
+
+#include <map>
+#include <vector>
+
+namespace hornbeamweir
+{
+
+/// \brief The replicas that may get new requests.
+/// \remarks Sans-I/O. Takes whole snapshots of the registry.
+class replica_directory
+{
+public:
+    /// Reads further apart than this count as an outage of the registry.
+    static constexpr duration outage = std::chrono::milliseconds{2500};
+    /// Time after an outage for replicas to register again.
+    static constexpr duration return_time = std::chrono::milliseconds{2200};
+
+    struct change
+    {
+        replica what;
+        /// added, changed or removed.
+        std::string_view kind;
+    };
+
+    /// \brief Takes a snapshot; entries that lapsed in an outage are kept for
+    /// return_time after it.
+    [[nodiscard]] std::vector<change>
+    take(std::map<backend_server_id, replica> snapshot, time_point now);
+
+    /// \brief Returns the replicas of a service that are not leaving.
+    [[nodiscard]] std::vector<replica const*>
+    usable(service_name const& service) const;
+
+    [[nodiscard]] replica const* find(backend_server_id const& id) const;
+
+    [[nodiscard]] std::size_t size() const noexcept { return known_.size(); }
+
+private:
+    std::map<backend_server_id, replica> known_;
+    time_point last_read_{};
+    time_point keep_until_{};
+    bool has_read_ = false;
+};
+
+} // namespace hornbeamweir
--- /dev/null
+++ b/include/hornbeamweir/routes/route_configuration.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <hornbeamweir/routes/engine_profile.hpp>
+#include <hornbeamweir/routes/route.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hornbeamweir
+{
+
+/// \brief A service that routes lead to.
+struct service_profile
+{
+    service_name name;
+    /// Connections that a replica takes from all callers together.
+    std::uint32_t max_connections = 0;
+    std::optional<engine_profile> engine;
+
+    [[nodiscard]] friend bool
+    operator==(service_profile const&, service_profile const&) = default;
+};
+
+/// \brief A customer that is named by its keys.
+struct key_holder
+{
+    customer_id customer;
+    /// Takes precedence over the route's priority.
+    std::optional<std::uint32_t> priority;
+
+    [[nodiscard]] friend bool
+    operator==(key_holder const&, key_holder const&) = default;
+};
+
+/// \brief What callers may send.
+struct caller_limits
+{
+    std::uint32_t max_header_bytes = 16 * 1024;
+    std::uint32_t max_body_bytes = 4 * 1024 * 1024;
+    duration header_timeout = std::chrono::seconds{10};
+    duration idle_timeout = std::chrono::seconds{60};
+
+    [[nodiscard]] friend bool
+    operator==(caller_limits const&, caller_limits const&) = default;
+};
+
+/// \brief One version of the routes, services and customers' keys.
+struct route_configuration
+{
+    /// Rises with each change, not by one.
+    std::uint64_t version = 0;
+    std::vector<route> routes;
+    std::vector<service_profile> services;
+    caller_limits limits;
+    /// Whether requests need a key, unless their route is open to all.
+    bool keys_required = false;
+    std::map<std::string, key_holder> keys;
+
+    [[nodiscard]] friend bool operator==(
+        route_configuration const&, route_configuration const&) = default;
+};
+
+} // namespace hornbeamweir
--- /dev/null
+++ b/include/hornbeamweir/routes/route_feed.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <hornbeamweir/platform/change_poller.hpp>
+#include <hornbeamweir/relay/relay_codec.hpp>
+#include <hornbeamweir/telemetry/event_log.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace hornbeamweir
+{
+
+/// \brief Reads the configuration and waits for newer versions, through
+/// outages and lost history.
+class route_feed
+{
+public:
+    using clock_function = time_point (*)() noexcept;
+
+    /// \param taken Receives a configuration, and the instant at which it was
+    /// the newest.
+    /// \param confirmed Receives an instant at which nothing newer existed.
+    route_feed(
+        boost::asio::io_context& context,
+        platform& service,
+        change_poller& poller,
+        relay_codec const& codec,
+        event_log& log,
+        clock_function clock,
+        std::function<void(route_configuration, time_point)> taken,
+        std::function<void(time_point)> confirmed);
+    route_feed(route_feed const&) = delete;
+    route_feed& operator=(route_feed const&) = delete;
+    ~route_feed() = default;
+
+    void start() { read(); }
+
+private:
+    void read();
+    void on_read(result<range_reply> const& reply, time_point asked);
+    void poll();
+    void on_changes(result<change_batch> const& batch, time_point asked);
+    void on_value(std::string const& bytes, time_point as_of);
+    void later(duration delay);
+    void note_failure(error const& reason);
+    void note_success();
+
+    platform& platform_;
+    change_poller& poller_;
+    relay_codec const& codec_;
+    event_log& log_;
+    clock_function clock_;
+    std::function<void(route_configuration, time_point)> taken_;
+    std::function<void(time_point)> confirmed_;
+    boost::asio::steady_timer timer_;
+    std::int64_t revision_ = 0;
+    bool lost_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace hornbeamweir
--- /dev/null
+++ b/include/hornbeamweir/settings/relay_settings.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <hornbeamweir/settings/process_settings.hpp>
+
+namespace hornbeamweir
+{
+
+/// \brief Settings of an entry that relays routes straight to replicas.
+struct relay_entry_settings
+{
+    process_name name;
+    data_centre_id data_centre;
+    std::string callers_address;
+    /// Where the balancer asks whether callers may come.
+    std::string readiness_address;
+    /// UDP address for the system's other processes.
+    std::string peers_address;
+    std::string metrics_address;
+    std::string platform_address;
+    /// Time within which a withdrawn key must stop everywhere.
+    std::uint32_t key_withdrawal_ms = 5000;
+    /// Time between SIGTERM and SIGKILL.
+    std::uint32_t grace_s = 8;
+    /// Repeats that a service may get from all entries in a window: a ratio of
+    /// its requests, and a number besides.
+    double repeat_ratio = 0.2;
+    std::uint32_t repeat_allowance = 10;
+    std::uint32_t repeat_window_s = 10;
+    log_settings log;
+
+    [[nodiscard]] friend bool operator==(
+        relay_entry_settings const&, relay_entry_settings const&) = default;
+};
+
+/// \brief Settings of the agent beside a rank of a lock-step group.
+struct rank_agent_settings
+{
+    process_name name;
+    data_centre_id data_centre;
+    std::string rank_address;
+    std::string peers_address;
+    std::string metrics_address;
+    std::string platform_address;
+    log_settings log;
+
+    [[nodiscard]] friend bool operator==(
+        rank_agent_settings const&, rank_agent_settings const&) = default;
+};
+
+[[nodiscard]] checked<relay_entry_settings>
+read_relay_entry_settings(std::string const& text, std::string const& file);
+
+[[nodiscard]] checked<rank_agent_settings>
+read_rank_agent_settings(std::string const& text, std::string const& file);
+
+} // namespace hornbeamweir
--- a/src/daemon/daemon_loop.cpp
+++ b/src/daemon/daemon_loop.cpp
@@ -17,7 +17,7 @@
 
 daemon_loop::daemon_loop()
     : timer_{context_}
-    , signals_{context_, SIGTERM, SIGINT}
+    , signals_{context_, SIGTERM, SIGINT, SIGHUP}
 {
     std::signal(SIGPIPE, SIG_IGN);
 }
@@ -38,15 +38,29 @@
 void daemon_loop::wait_for_signal()
 {
     signals_.async_wait(
-        [this](boost::system::error_code ec, int)
+        [this](boost::system::error_code ec, int signal)
         {
-            if (ec || draining_)
+            if (ec)
                 return;
-            draining_ = true;
-            drain_();
+            on_signal(signal);
+            wait_for_signal();
         });
 }
 
+void daemon_loop::on_signal(int signal)
+{
+    if (signal == SIGHUP)
+    {
+        if (reload_)
+            reload_();
+    }
+    else if (!draining_)
+    {
+        draining_ = true;
+        drain_();
+    }
+}
+
 void daemon_loop::wait_for_tick()
 {
     timer_.expires_after(tick_interval);
--- a/src/daemon/daemon_loop.hpp
+++ b/src/daemon/daemon_loop.hpp
@@ -28,7 +28,14 @@
         std::function<void()> drain,
         std::function<bool()> idle);
 
+    /// \brief Sets what is called at SIGHUP, which is ignored otherwise.
+    void on_reload(std::function<void()> reload)
+    {
+        reload_ = std::move(reload);
+    }
+
 private:
+    void on_signal(int signal);
     void wait_for_tick();
     void wait_for_signal();
 
@@ -38,6 +45,7 @@
     std::function<void()> tick_;
     std::function<void()> drain_;
     std::function<bool()> idle_;
+    std::function<void()> reload_;
     bool draining_ = false;
     int idle_ticks_ = 0;
 };
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -28,6 +28,7 @@
     limits.max_body_bytes = settings.max_body_bytes;
     limits.max_connections = settings.max_connections;
     limits.read_timeout = std::chrono::milliseconds{settings.read_timeout_ms};
+    limits.first_request_timeout = limits.read_timeout;
     return limits;
 }
 
--- /dev/null
+++ b/src/daemon/relay_daemon.cpp
@@ -0,0 +1,327 @@
+#include <hornbeamweir/core/socket_address.hpp>
+#include <hornbeamweir/core/suspend_clock.hpp>
+#include <hornbeamweir/daemon/relay_daemon.hpp>
+#include <hornbeamweir/entry/error_document.hpp>
+#include <hornbeamweir/peers/datagram_link.hpp>
+#include <hornbeamweir/peers/peer_registry.hpp>
+#include <hornbeamweir/replicas/replica_feed.hpp>
+#include <hornbeamweir/routes/route_feed.hpp>
+#include <hornbeamweir/telemetry/console_log.hpp>
+
+#include "admin_endpoint.hpp"
+#include "daemon_loop.hpp"
+#include "relay_exchanges.hpp"
+
+#include <boost/json/serialize.hpp>
+
+namespace hornbeamweir
+{
+
+namespace
+{
+
+constexpr std::string_view entry_role = "entry";
+/// Interval of what entries tell each other of their open requests.
+constexpr duration load_interval = std::chrono::milliseconds{100};
+/// Interval at which the settings file is compared, as it may change without
+/// a signal.
+constexpr duration reread_interval = std::chrono::seconds{2};
+/// The balancer asks once a second and acts on the second miss, so that new
+/// connections come for about two seconds after a signal.
+constexpr duration least_drain = std::chrono::milliseconds{2500};
+/// Kept free at the end of the grace period.
+constexpr duration grace_margin = std::chrono::milliseconds{1500};
+/// Descriptors are bounded; each request needs a second one to its replica.
+constexpr std::uint32_t max_callers = 1800;
+
+http_limits limits_of(caller_limits const& configured)
+{
+    http_limits limits;
+    limits.max_header_bytes = configured.max_header_bytes;
+    limits.max_body_bytes = configured.max_body_bytes;
+    limits.max_connections = max_callers;
+    limits.read_timeout = configured.header_timeout;
+    limits.first_request_timeout = configured.idle_timeout;
+    limits.idle_timeout = configured.idle_timeout;
+    return limits;
+}
+
+relay::relay_settings core_settings(relay_entry_settings const& settings)
+{
+    // A proof this much younger than the limit leaves time for the request to
+    // reach its replica.
+    constexpr std::chrono::milliseconds margin{500};
+    relay::relay_settings out;
+    out.data_centre = settings.data_centre;
+    out.proof_limit =
+        std::chrono::milliseconds{settings.key_withdrawal_ms} - margin;
+    out.retries.ratio = settings.repeat_ratio;
+    out.retries.allowance = settings.repeat_allowance;
+    out.retries.window = std::chrono::seconds{settings.repeat_window_s};
+    return out;
+}
+
+boost::asio::ip::udp::endpoint udp_endpoint(std::string const& address)
+{
+    std::optional<boost::asio::ip::tcp::endpoint> const at =
+        tcp_endpoint(address);
+    return at ? boost::asio::ip::udp::endpoint{at->address(), at->port()}
+              : boost::asio::ip::udp::endpoint{};
+}
+
+void write_refusal(http_exchange& exchange, result_code code)
+{
+    error_document document = make_error_document(
+        request_id{"none"},
+        {code, "the request could not be read"},
+        execution_state::not_run,
+        std::nullopt);
+    exchange.send_head(document.status, document.headers);
+    exchange.send_data(std::move(document.body));
+    exchange.finish();
+}
+
+} // namespace
+
+class relay_daemon::impl
+{
+public:
+    impl(
+        relay_entry_settings settings,
+        std::function<checked<relay_entry_settings>()> reread,
+        relay_codec const& codec,
+        platform_factory const& connect)
+        : settings_{std::move(settings)}
+        , reread_{std::move(reread)}
+        , codec_{codec}
+        , log_{settings_.log, settings_.name.str()}
+        , random_{system_seed()}
+        , core_{core_settings(settings_), log_, metrics_, random_source{random_.next()}}
+        , exchanges_{loop_.context(), core_, codec_, suspend_aware_now}
+        , callers_{loop_.context(), settings_.callers_address, limits_of({}), [this](std::shared_ptr<http_exchange> exchange, http_request_message request) { exchanges_.accept(std::move(exchange), std::move(request)); }, write_refusal}
+        , readiness_{loop_.context(), settings_.readiness_address, http_limits{}, [this](std::shared_ptr<http_exchange> exchange, http_request_message const& request) { answer_readiness(*exchange, request); }, write_refusal}
+        , admin_{loop_.context(), settings_.metrics_address, metrics_, admin_pages{[this] { return ready(); }, [this] { return status(); }, {}}}
+        , platform_{connect(loop_.context(), settings_.platform_address)}
+        , routes_{loop_.context(), *platform_, *platform_, codec_, log_, suspend_aware_now, [this](route_configuration next, time_point as_of) { take(std::move(next), as_of); }, [this](time_point as_of) { core_.routes().confirm(as_of); }}
+        , replicas_{loop_.context(), *platform_, codec_, log_, [this](replica_feed::snapshot snapshot) { take(std::move(snapshot)); }}
+        , registry_{loop_.context(), *platform_, log_, std::string{entry_role}, settings_.name, udp_endpoint(settings_.peers_address)}
+        , link_{loop_.context(), udp_endpoint(settings_.peers_address), std::string{entry_role}, settings_.name.str(), random_.next(), [this](boost::asio::ip::udp::endpoint const& from, wire::datagram const& message) { on_datagram(from, message); }}
+    {
+    }
+
+    void run()
+    {
+        event line{"started"};
+        line.with("data_centre", settings_.data_centre)
+            .with("callers", settings_.callers_address)
+            .with("platform", settings_.platform_address);
+        log_.info(line);
+        routes_.start();
+        replicas_.start();
+        registry_.start();
+        loop_.on_reload([this] { reload("signal"); });
+        loop_.run(
+            [this] { tick(); }, [this] { drain(); }, [this] { return idle(); });
+        log_.info(event{"stopped"});
+    }
+
+private:
+    void tick()
+    {
+        time_point const now = suspend_aware_now();
+        exchanges_.apply(core_.on_tick(now));
+        if (now - loads_told_ >= load_interval)
+            tell_loads(now);
+        if (now - reread_at_ >= reread_interval)
+        {
+            reread_at_ = now;
+            reload("interval");
+        }
+        bool const is_ready = ready();
+        if (is_ready != was_ready_)
+        {
+            event line{"readiness_changed"};
+            line.with("ready", is_ready ? "yes" : "no")
+                .with("replicas", core_.replicas().size())
+                .with("proof_ms", core_.routes().proof_age(now).count() / 1000);
+            log_.info(line);
+            was_ready_ = is_ready;
+        }
+    }
+
+    void take(route_configuration next, time_point as_of)
+    {
+        std::uint64_t const version = next.version;
+        http_limits const limits = limits_of(next.limits);
+        if (!core_.routes().take(std::move(next), as_of))
+            return;
+        callers_.set_limits(limits);
+        event line{"configuration_in_force"};
+        line.with("version", version);
+        log_.info(line);
+    }
+
+    void take(replica_feed::snapshot snapshot)
+    {
+        for (replica_directory::change const& it :
+             core_.replicas().take(std::move(snapshot), suspend_aware_now()))
+        {
+            event line{"replica_changed"};
+            line.with("change", it.kind)
+                .with("replica", it.what.id)
+                .with("service", it.what.service)
+                .with("address", it.what.address)
+                .with("draining", it.what.draining ? "yes" : "no");
+            log_.info(line);
+        }
+    }
+
+    void tell_loads(time_point now)
+    {
+        loads_told_ = now;
+        wire::datagram message;
+        for (auto const& [id, n] : core_.loads().own())
+        {
+            wire::replica_load& load = *message.mutable_load()->add_loads();
+            load.set_replica(id.str());
+            load.set_in_flight(n);
+        }
+        message.mutable_load();
+        for (auto const& [name, at] : registry_.peers(std::string{entry_role}))
+            link_.send(at, message);
+    }
+
+    void on_datagram(
+        boost::asio::ip::udp::endpoint const& from,
+        wire::datagram const& message)
+    {
+        time_point const now = suspend_aware_now();
+        process_name const sender{message.sender()};
+        registry_.on_heard(sender, message.role(), from);
+        if (message.has_load())
+        {
+            std::map<backend_server_id, std::uint32_t> loads;
+            for (wire::replica_load const& it : message.load().loads())
+                loads[backend_server_id{it.replica()}] = it.in_flight();
+            core_.loads().on_peer_load(sender, std::move(loads), now);
+        }
+        else if (message.has_report())
+        {
+            wire::rank_report const& report = message.report();
+            core_.loads().on_rank(
+                backend_server_id{report.replica()},
+                {report.open(), std::max(1.0, report.pace()), now});
+        }
+    }
+
+    void answer_readiness(
+        http_exchange& exchange, http_request_message const& request)
+    {
+        constexpr unsigned ok = 200;
+        constexpr unsigned unavailable = 503;
+        constexpr unsigned not_found = 404;
+        constexpr char const* type = "text/plain";
+        if (request.target != codec_.readiness_path())
+            send_whole(exchange, not_found, type, "not found\n");
+        else if (ready())
+            send_whole(exchange, ok, type, "ready\n");
+        else
+            send_whole(exchange, unavailable, type, "not ready\n");
+    }
+
+    [[nodiscard]] bool ready() const
+    {
+        return !draining_ && core_.ready(suspend_aware_now());
+    }
+
+    [[nodiscard]] std::string status() const
+    {
+        boost::json::object out;
+        out["open_requests"] = core_.open_requests();
+        out["connections_opened"] = exchanges_.totals().opened;
+        out["connections_reused"] = exchanges_.totals().reused;
+        out["answers_skipped"] = exchanges_.totals().skipped;
+        return boost::json::serialize(out);
+    }
+
+    void drain()
+    {
+        draining_ = true;
+        drained_at_ = suspend_aware_now();
+        callers_.close_after_answers();
+        event line{"draining"};
+        line.with("open_requests", core_.open_requests());
+        log_.info(line);
+    }
+
+    [[nodiscard]] bool idle()
+    {
+        duration const elapsed = suspend_aware_now() - drained_at_;
+        duration const grace =
+            std::chrono::seconds{settings_.grace_s} - grace_margin;
+        if (elapsed >= grace)
+            return true;
+        return elapsed >= least_drain && core_.open_requests() == 0;
+    }
+
+    void reload(std::string_view cause)
+    {
+        checked<relay_entry_settings> const next = reread_();
+        if (!next)
+        {
+            event line{"reload_failed"};
+            line.with("cause", cause).with("reason", to_string(next.error()));
+            log_.error(line);
+            return;
+        }
+        if (*next == settings_)
+            return;
+        settings_ = *next;
+        core_.update(core_settings(settings_));
+        event line{"settings_reloaded"};
+        line.with("cause", cause);
+        log_.info(line);
+    }
+
+    relay_entry_settings settings_;
+    std::function<checked<relay_entry_settings>()> reread_;
+    relay_codec const& codec_;
+    console_log log_;
+    metrics_registry metrics_;
+    random_source random_;
+    daemon_loop loop_;
+    relay::relay_core core_;
+    relay_exchanges exchanges_;
+    http_server callers_;
+    http_server readiness_;
+    admin_endpoint admin_;
+    std::unique_ptr<polled_platform> platform_;
+    route_feed routes_;
+    replica_feed replicas_;
+    peer_registry registry_;
+    datagram_link link_;
+    time_point loads_told_{};
+    time_point reread_at_{};
+    time_point drained_at_{};
+    bool draining_ = false;
+    bool was_ready_ = false;
+};
+
+relay_daemon::relay_daemon(
+    relay_entry_settings settings,
+    std::function<checked<relay_entry_settings>()> reread,
+    relay_codec const& codec,
+    platform_factory const& connect)
+    : impl_{std::make_unique<impl>(
+          std::move(settings), std::move(reread), codec, connect)}
+{
+}
+
+relay_daemon::~relay_daemon() = default;
+
+void relay_daemon::run()
+{
+    impl_->run();
+}
+
+} // namespace hornbeamweir
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -61,6 +61,10 @@
             });
     }
 
+    void close_after_answers() { shared_->closing = true; }
+
+    void set_limits(http_limits const& limits) { shared_->limits = limits; }
+
     void stop_accepting()
     {
         boost::system::error_code ignored;
@@ -124,6 +128,16 @@
     impl_->detach();
 }
 
+void http_server::close_after_answers()
+{
+    impl_->close_after_answers();
+}
+
+void http_server::set_limits(http_limits const& limits)
+{
+    impl_->set_limits(limits);
+}
+
 void http_server::stop_accepting()
 {
     impl_->stop_accepting();
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -97,7 +97,7 @@
     // A new connection must send at once; a kept one may rest between requests.
     stream_.expires_never();
     limit_read(
-        first_request_ ? shared_->limits.read_timeout
+        first_request_ ? shared_->limits.first_request_timeout
                        : shared_->limits.idle_timeout);
     http::async_read_header(
         stream_,
@@ -241,6 +241,9 @@
         return;
     http::response<http::empty_body> head{
         static_cast<http::status>(status), http_1_1};
+    std::string const* const connection = find_header(headers, "Connection");
+    if (connection && same_header_name(*connection, "close"))
+        keep_alive_ = false;
     for (header_field const& field : headers)
     {
         if (!is_hop_by_hop(field.name))
--- /dev/null
+++ b/src/http/pooled_connection.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <hornbeamweir/http/connection_pool.hpp>
+
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <list>
+#include <map>
+
+namespace hornbeamweir
+{
+
+/// \brief A connection to a server, in use or idle.
+struct pooled_connection
+{
+    explicit pooled_connection(boost::asio::io_context& context)
+        : socket{context}
+    {
+    }
+
+    boost::asio::ip::tcp::socket socket;
+    boost::asio::ip::tcp::endpoint server;
+    boost::beast::flat_buffer buffer;
+    /// End of the time for which the server keeps it open.
+    time_point usable_until{};
+    bool idle = false;
+};
+
+/// \brief The idle connections of a pool.
+class connection_pool::impl
+    : public std::enable_shared_from_this<connection_pool::impl>
+{
+public:
+    impl(boost::asio::io_context& context, std::size_t max_idle)
+        : context_{context}
+        , max_idle_{max_idle}
+    {
+    }
+
+    /// \returns Null if no idle connection to the server is usable.
+    [[nodiscard]] std::shared_ptr<pooled_connection>
+    take(boost::asio::ip::tcp::endpoint const& server);
+
+    /// \brief Keeps a connection for the next call.
+    void
+    give_back(std::shared_ptr<pooled_connection> connection, duration usable);
+
+    void close_all();
+
+    [[nodiscard]] boost::asio::io_context& context() noexcept
+    {
+        return context_;
+    }
+
+    counters totals;
+
+private:
+    using idle_list = std::list<std::shared_ptr<pooled_connection>>;
+
+    void watch(std::shared_ptr<pooled_connection> const& connection);
+    void drop(std::shared_ptr<pooled_connection> const& connection);
+
+    boost::asio::io_context& context_;
+    std::size_t max_idle_;
+    std::map<boost::asio::ip::tcp::endpoint, idle_list> idle_;
+    bool closed_ = false;
+};
+
+/// \brief Closes a socket at once, also with unsent bytes.
+void close_socket(boost::asio::ip::tcp::socket& socket);
+
+} // namespace hornbeamweir
--- /dev/null
+++ b/src/http/pooled_exchange.cpp
@@ -0,0 +1,420 @@
+#include "pooled_exchange.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <charconv>
+#include <netinet/tcp.h>
+#include <optional>
+
+namespace hornbeamweir
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = boost::asio::ip::tcp;
+
+constexpr std::uint32_t max_header_bytes = 64 * 1024;
+constexpr std::size_t read_size = 16 * 1024;
+/// Time after which unacknowledged bytes end a connection: peers that lost
+/// power or are cut off send no reset.
+constexpr int unacknowledged_ms = 3000;
+/// How long a connection is kept if the server names no time.
+constexpr duration usual_idle = std::chrono::seconds{30};
+/// Taken off the server's time, so that a request does not meet its end.
+constexpr duration idle_margin = std::chrono::milliseconds{1000};
+/// Answers to earlier requests that are skipped before a connection is given
+/// up.
+constexpr int max_skipped = 3;
+
+std::string write_request(http_request_message const& message)
+{
+    std::string out = message.method + ' ' + message.target + " HTTP/1.1\r\n";
+    for (header_field const& field : message.headers)
+    {
+        if (is_hop_by_hop(field.name) ||
+            same_header_name(field.name, "Content-Length"))
+            continue;
+        out.append(field.name).append(": ").append(field.value).append("\r\n");
+    }
+    bool const has_body = !message.body.empty() || message.method == "POST" ||
+                          message.method == "PUT" || message.method == "PATCH";
+    if (has_body)
+    {
+        out.append("Content-Length: ")
+            .append(std::to_string(message.body.size()))
+            .append("\r\n");
+    }
+    out.append("\r\n").append(message.body);
+    return out;
+}
+
+/// Reads the time of a Keep-Alive field, such as "timeout=5, max=100".
+duration keep_alive_time(std::string_view field)
+{
+    constexpr std::string_view key = "timeout=";
+    std::size_t const at = field.find(key);
+    if (at == std::string_view::npos)
+        return usual_idle;
+    std::string_view const digits = field.substr(at + key.size());
+    unsigned seconds = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return std::chrono::seconds{seconds} - idle_margin;
+}
+
+} // namespace
+
+class pooled_exchange : public std::enable_shared_from_this<pooled_exchange>
+{
+public:
+    using parser_type = http::response_parser<http::buffer_body>;
+
+    pooled_exchange(
+        std::shared_ptr<connection_pool::impl> pool,
+        http_request_message const& request,
+        pooled_call_options options,
+        pooled_call_handlers handlers)
+        : pool_{std::move(pool)}
+        , options_{std::move(options)}
+        , handlers_{std::move(handlers)}
+        , timer_{pool_->context()}
+        , bytes_{write_request(request)}
+        , is_head_request_{request.method == "HEAD"}
+    {
+        if (!options_.echoed_field.empty())
+        {
+            std::string const* const id =
+                find_header(request.headers, options_.echoed_field);
+            if (id)
+                expected_ = *id;
+        }
+    }
+
+    void begin(tcp::endpoint const& server)
+    {
+        if (!abandoned_)
+            start(server);
+    }
+
+    [[nodiscard]] asio::io_context& executor_context()
+    {
+        return pool_->context();
+    }
+
+    void pause(bool paused)
+    {
+        paused_ = paused;
+        if (!paused_ && !reading_ && head_done_ && connection_)
+            read_some();
+    }
+
+    /// Ends the call without calling a handler.
+    void abandon()
+    {
+        abandoned_ = true;
+        handlers_ = {};
+        close();
+    }
+
+private:
+    void start(tcp::endpoint const& server);
+
+    void limit(duration time)
+    {
+        timer_.expires_after(time);
+        timer_.async_wait(
+            [weak = weak_from_this()](boost::system::error_code ec)
+            {
+                std::shared_ptr<pooled_exchange> const self = weak.lock();
+                if (!ec && self && self->connection_)
+                    self->fail(result_code::deadline_exceeded, "timed out");
+            });
+    }
+
+    void on_connected(boost::system::error_code ec)
+    {
+        if (!connection_)
+            return;
+        if (ec)
+        {
+            fail(result_code::backend_unreachable, ec.message());
+            return;
+        }
+        boost::system::error_code ignored;
+        connection_->socket.set_option(tcp::no_delay{true}, ignored);
+        connection_->socket.set_option(
+            asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>{
+                unacknowledged_ms},
+            ignored);
+        limit(ends_at_ - process_clock::now());
+        send();
+    }
+
+    void send()
+    {
+        sent_ = true;
+        asio::async_write(
+            connection_->socket,
+            asio::buffer(bytes_),
+            [self =
+                 shared_from_this()](boost::system::error_code ec, std::size_t)
+            {
+                if (!self->connection_)
+                    return;
+                if (ec)
+                    self->fail(result_code::backend_failed, ec.message());
+                else
+                    self->read_head();
+            });
+    }
+
+    void read_head()
+    {
+        parser_.emplace();
+        parser_->body_limit(boost::none);
+        parser_->header_limit(max_header_bytes);
+        parser_->skip(is_head_request_);
+        http::async_read_header(
+            connection_->socket,
+            connection_->buffer,
+            *parser_,
+            [self =
+                 shared_from_this()](boost::system::error_code ec, std::size_t)
+            { self->on_head(ec); });
+    }
+
+    void on_head(boost::system::error_code ec)
+    {
+        if (!connection_)
+            return;
+        if (ec)
+        {
+            fail(result_code::backend_failed, ec.message());
+            return;
+        }
+        constexpr unsigned first_final_status = 200;
+        if (parser_->get().result_int() < first_final_status)
+        {
+            read_head();
+            return;
+        }
+        if (expected_)
+        {
+            boost::beast::string_view const id =
+                parser_->get()[options_.echoed_field];
+            skipping_ = !id.empty() && id != *expected_;
+        }
+        if (skipping_ && ++skipped_ > max_skipped)
+        {
+            fail(result_code::backend_failed, "answers to other requests");
+            return;
+        }
+        head_done_ = true;
+        if (skipping_)
+            ++pool_->totals.skipped;
+        else
+            report_head();
+        if (connection_)
+            read_some();
+    }
+
+    void report_head()
+    {
+        header_list headers;
+        for (auto it = parser_->get().begin(); it != parser_->get().end(); ++it)
+        {
+            headers.push_back(
+                {std::string{it->name_string()}, std::string{it->value()}});
+        }
+        std::function<void(unsigned, header_list)> const head = handlers_.head;
+        if (head)
+            head(parser_->get().result_int(), std::move(headers));
+    }
+
+    void read_some()
+    {
+        if (parser_->is_done())
+        {
+            end();
+            return;
+        }
+        if (paused_)
+            return;
+        reading_ = true;
+        chunk_.resize(read_size);
+        parser_->get().body().data = chunk_.data();
+        parser_->get().body().size = chunk_.size();
+        http::async_read_some(
+            connection_->socket,
+            connection_->buffer,
+            *parser_,
+            [self =
+                 shared_from_this()](boost::system::error_code ec, std::size_t)
+            { self->on_data(ec); });
+    }
+
+    void on_data(boost::system::error_code ec)
+    {
+        reading_ = false;
+        if (!connection_)
+            return;
+        if (ec == http::error::need_buffer)
+            ec = {};
+        if (ec)
+        {
+            fail(result_code::answer_incomplete, ec.message());
+            return;
+        }
+        std::size_t const n = chunk_.size() - parser_->get().body().size;
+        if (n > 0 && !skipping_)
+        {
+            std::function<void(std::string)> const data = handlers_.data;
+            if (data)
+                data(chunk_.substr(0, n));
+        }
+        if (connection_)
+            read_some();
+    }
+
+    void end()
+    {
+        if (skipping_)
+        {
+            skipping_ = false;
+            head_done_ = false;
+            if (parser_->need_eof())
+                fail(result_code::backend_failed, "connection ended");
+            else
+                read_head();
+            return;
+        }
+        std::function<void()> const ended = std::move(handlers_.ended);
+        handlers_ = {};
+        // Bytes behind the answer belong to no request.
+        bool const reusable = parser_->keep_alive() && !parser_->need_eof() &&
+                              connection_->buffer.size() == 0;
+        duration const usable =
+            keep_alive_time(parser_->get()[http::field::keep_alive]);
+        timer_.cancel();
+        std::shared_ptr<pooled_connection> connection = std::move(connection_);
+        connection_ = nullptr;
+        if (reusable)
+            pool_->give_back(std::move(connection), usable);
+        else
+            close_socket(connection->socket);
+        if (ended)
+            ended();
+    }
+
+    void fail(result_code code, std::string message)
+    {
+        std::function<void(error, bool)> const failed =
+            std::move(handlers_.failed);
+        handlers_ = {};
+        bool const sent = sent_;
+        close();
+        if (failed)
+            failed({code, std::move(message)}, sent);
+    }
+
+    void close()
+    {
+        timer_.cancel();
+        if (!connection_)
+            return;
+        close_socket(connection_->socket);
+        // Handlers that still run find no connection; the socket lives on
+        // until they have.
+        asio::post(
+            pool_->context(),
+            [self = shared_from_this(), connection = connection_] {});
+        connection_ = nullptr;
+    }
+
+    std::shared_ptr<connection_pool::impl> pool_;
+    pooled_call_options options_;
+    pooled_call_handlers handlers_;
+    asio::steady_timer timer_;
+    std::string bytes_;
+    std::optional<std::string> expected_;
+    std::shared_ptr<pooled_connection> connection_;
+    std::optional<parser_type> parser_;
+    std::string chunk_;
+    time_point ends_at_{};
+    int skipped_ = 0;
+    bool is_head_request_ = false;
+    bool sent_ = false;
+    bool head_done_ = false;
+    bool skipping_ = false;
+    bool reading_ = false;
+    bool paused_ = false;
+    bool abandoned_ = false;
+};
+
+void pooled_exchange::start(tcp::endpoint const& server)
+{
+    ends_at_ = process_clock::now() + options_.timeout;
+    if (!options_.fresh_connection)
+        connection_ = pool_->take(server);
+    if (connection_)
+    {
+        ++pool_->totals.reused;
+        limit(options_.timeout);
+        send();
+        return;
+    }
+    ++pool_->totals.opened;
+    connection_ = std::make_shared<pooled_connection>(pool_->context());
+    connection_->server = server;
+    limit(std::min(options_.connect_timeout, options_.timeout));
+    connection_->socket.async_connect(
+        server,
+        [self = shared_from_this()](boost::system::error_code ec)
+        { self->on_connected(ec); });
+}
+
+namespace
+{
+
+class exchange_handle final : public pooled_call
+{
+public:
+    explicit exchange_handle(std::shared_ptr<pooled_exchange> exchange)
+        : exchange_{std::move(exchange)}
+    {
+    }
+    ~exchange_handle() override { exchange_->abandon(); }
+
+    void pause(bool paused) override { exchange_->pause(paused); }
+
+private:
+    std::shared_ptr<pooled_exchange> exchange_;
+};
+
+} // namespace
+
+std::unique_ptr<pooled_call> start_exchange(
+    std::shared_ptr<connection_pool::impl> pool,
+    tcp::endpoint const& server,
+    http_request_message request,
+    pooled_call_options options,
+    pooled_call_handlers handlers)
+{
+    std::shared_ptr<pooled_exchange> const exchange =
+        std::make_shared<pooled_exchange>(
+            std::move(pool), request, std::move(options), std::move(handlers));
+    // The caller does not hold its handle yet.
+    asio::post(
+        exchange->executor_context(),
+        [exchange, server] { exchange->begin(server); });
+    return std::make_unique<exchange_handle>(exchange);
+}
+
+} // namespace hornbeamweir
--- /dev/null
+++ b/src/http/pooled_exchange.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "pooled_connection.hpp"
+
+namespace hornbeamweir
+{
+
+/// \brief Starts one request and its answer over a connection of a pool.
+[[nodiscard]] std::unique_ptr<pooled_call> start_exchange(
+    std::shared_ptr<connection_pool::impl> pool,
+    boost::asio::ip::tcp::endpoint const& server,
+    http_request_message request,
+    pooled_call_options options,
+    pooled_call_handlers handlers);
+
+} // namespace hornbeamweir
--- /dev/null
+++ b/src/relay/event_splitter.cpp
@@ -0,0 +1,86 @@
+#include <hornbeamweir/relay/event_splitter.hpp>
+
+#include <charconv>
+
+namespace hornbeamweir
+{
+
+namespace
+{
+
+/// Position after the blank line that ends the first event, or npos.
+std::size_t end_of_event(std::string_view bytes, std::size_t from)
+{
+    for (std::size_t at = bytes.find('\n', from);
+         at != std::string_view::npos && at + 1 < bytes.size();
+         at = bytes.find('\n', at + 1))
+    {
+        if (bytes[at + 1] == '\n')
+            return at + 2;
+        if (bytes[at + 1] == '\r' && at + 2 < bytes.size() &&
+            bytes[at + 2] == '\n')
+            return at + 3;
+    }
+    return std::string_view::npos;
+}
+
+std::optional<std::uint64_t> id_of(std::string_view event)
+{
+    constexpr std::string_view field = "id:";
+    for (std::size_t start = 0; start < event.size();)
+    {
+        std::size_t const end = event.find('\n', start);
+        std::string_view line = event.substr(start, end - start);
+        if (line.starts_with(field))
+        {
+            line.remove_prefix(field.size());
+            while (line.starts_with(' '))
+                line.remove_prefix(1);
+            std::uint64_t id = 0;
+            std::from_chars_result const parsed =
+                std::from_chars(line.data(), line.data() + line.size(), id);
+            if (parsed.ec == std::errc{})
+                return id;
+        }
+        if (end == std::string_view::npos)
+            break;
+        start = end + 1;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string event_splitter::take(std::string_view bytes)
+{
+    // A line end may lie on the border of two reads.
+    constexpr std::size_t overlap = 3;
+    std::size_t search = tail_.size() > overlap ? tail_.size() - overlap : 0;
+    tail_.append(bytes);
+    std::string complete;
+    std::size_t start = 0;
+    for (std::size_t end = end_of_event(tail_, search);
+         end != std::string::npos;
+         end = end_of_event(tail_, start))
+    {
+        std::string_view const event{tail_.data() + start, end - start};
+        if (is_new(event))
+            complete.append(event);
+        start = end;
+    }
+    tail_.erase(0, start);
+    return complete;
+}
+
+bool event_splitter::is_new(std::string_view event)
+{
+    std::optional<std::uint64_t> const id = id_of(event);
+    if (!id)
+        return true;
+    if (last_ && *id <= *last_)
+        return false;
+    last_ = id;
+    return true;
+}
+
+} // namespace hornbeamweir
--- /dev/null
+++ b/src/relay/relay_dispatch.cpp
@@ -0,0 +1,221 @@
+#include <hornbeamweir/relay/relay_core.hpp>
+
+#include <algorithm>
+
+namespace hornbeamweir::relay
+{
+
+namespace
+{
+
+/// Part of the target latency that a request may spend waiting and still be
+/// on time: the rest is needed to read its prompt.
+constexpr double wait_part = 0.5;
+/// Callers with less time than this part of the route's timeout have spent the
+/// rest on an earlier try.
+constexpr double returning_part = 0.95;
+
+duration scaled(duration of, double by)
+{
+    return duration{
+        static_cast<duration::rep>(static_cast<double>(of.count()) * by)};
+}
+
+} // namespace
+
+std::vector<candidate>
+relay_core::candidates_for(record const& of, time_point now) const
+{
+    std::vector<candidate> out;
+    for (replica const* it : directory_.usable(of.service))
+    {
+        rank_condition const condition = board_.rank(it->id, now);
+        if (of.excluded.contains(it->id) || !condition.open)
+            continue;
+        out.push_back(
+            {it,
+             board_.in_flight(it->id, now),
+             condition.pace,
+             failures_.score_of(it->id, now)});
+    }
+    return out;
+}
+
+step_cost relay_core::cost_of(service_name const& name) const
+{
+    service_profile const* const profile =
+        book_.table() ? book_.table()->find_service(name) : nullptr;
+    if (!profile || !profile->engine)
+        return {};
+    return {profile->engine->step, profile->engine->per_sequence};
+}
+
+// A request that can still be on time waits as long as that holds; one that
+// returned after a refusal is late anyhow and gives way, but may wait longer.
+void relay_core::enqueue(record_iterator it, time_point now, actions& out)
+{
+    record& of = it->second;
+    if (candidates_for(of, now).empty())
+    {
+        reject(
+            it,
+            result_code::no_backend_server,
+            execution_state::not_run,
+            "no replica is usable",
+            refusal_reason::outage,
+            now,
+            out);
+        return;
+    }
+    bool const returning = of.request.patience.value_or(of.rule.timeout) <
+                           scaled(of.rule.timeout, returning_part);
+    duration const wait = returning ? scaled(of.deadline - now, wait_part)
+                                    : scaled(of.rule.target_latency, wait_part);
+    queued_request item;
+    item.id = request_id{std::to_string(it->first)};
+    item.customer = of.customer;
+    item.priority = 2 * of.rule.priority + (returning ? 1 : 0);
+    item.deadline = now + wait;
+    service_name const service = of.service;
+    if (state_of(service).waiting.push(item, now))
+    {
+        reject(
+            it,
+            result_code::queue_full,
+            execution_state::not_run,
+            "the wait would be too long",
+            refusal_reason::overload,
+            now,
+            out);
+        return;
+    }
+    dispatch(service, now, out);
+}
+
+void relay_core::dispatch(
+    service_name const& name, time_point now, actions& out)
+{
+    auto const state = services_.find(name);
+    if (state == services_.end())
+        return;
+    while (state->second.waiting.size() > 0)
+    {
+        record probe;
+        probe.service = name;
+        std::vector<candidate> const candidates = candidates_for(probe, now);
+        if (!chooser_.choose(candidates, cost_of(name), settings_.data_centre))
+            return;
+        std::optional<queued_request> const next =
+            state->second.waiting.pop(now);
+        if (!next)
+            return;
+        record_iterator const it = records_.find(std::stoull(next->id.str()));
+        if (it != records_.end())
+            send_queued(it, now, out);
+    }
+}
+
+void relay_core::dispatch_all(time_point now, actions& out)
+{
+    for (auto& [name, state] : services_)
+        dispatch(name, now, out);
+}
+
+// What was true when the request arrived may have changed while it waited, so
+// that keys and routes are looked up again.
+void relay_core::send_queued(record_iterator it, time_point now, actions& out)
+{
+    verdict const found = resolve(it->second, now);
+    if (found.code != result_code::ok)
+    {
+        reject(
+            it,
+            found.code,
+            execution_state::not_run,
+            found.detail,
+            found.another_entry
+                ? std::optional{refusal_reason::try_another_entry}
+                : std::nullopt,
+            now,
+            out);
+        return;
+    }
+    if (try_send(it, now, out))
+        return;
+    reject(
+        it,
+        result_code::no_backend_server,
+        execution_state::not_run,
+        "no replica is usable",
+        refusal_reason::outage,
+        now,
+        out);
+}
+
+bool relay_core::try_send(record_iterator it, time_point now, actions& out)
+{
+    record& of = it->second;
+    std::vector<candidate> const candidates = candidates_for(of, now);
+    std::optional<std::size_t> const chosen =
+        chooser_.choose(candidates, cost_of(of.service), settings_.data_centre);
+    if (!chosen)
+        return false;
+    replica const& target = *candidates[*chosen].target;
+    of.target = target.id;
+    of.excluded.insert(target.id);
+    ++of.attempt;
+    ++of.attempts;
+    of.attempt_started = now;
+    of.last_progress = now;
+    of.at = of.first_bytes ? phase::answering : phase::trying;
+    board_.on_started(target.id);
+    open_attempt open;
+    open.request = it->first;
+    open.attempt = of.attempt;
+    open.target = target;
+    open.time_left = of.deadline - now;
+    open.resume_after = of.events.last();
+    open.fresh_connection = of.rule.repeats == repeat_class::at_most_once;
+    open.customer = of.customer;
+    out.push_back(std::move(open));
+    event line{"attempt_sent"};
+    line.with("id", of.request.id)
+        .with("attempt", of.attempt)
+        .with("replica", target.id)
+        .with("in_flight", candidates[*chosen].in_flight)
+        .with("candidates", candidates.size());
+    log_.debug(line);
+    return true;
+}
+
+actions relay_core::on_tick(time_point now)
+{
+    actions out;
+    for (auto& [name, state] : services_)
+    {
+        for (queued_request const& late : state.waiting.expire(now))
+        {
+            record_iterator const it =
+                records_.find(std::stoull(late.id.str()));
+            if (it == records_.end())
+                continue;
+            reject(
+                it,
+                result_code::queue_full,
+                execution_state::not_run,
+                "the wait became too long",
+                refusal_reason::overload,
+                now,
+                out);
+        }
+    }
+    for (record_iterator it = records_.begin(); it != records_.end();)
+    {
+        record_iterator const at = it++;
+        check_time(at, now, out);
+    }
+    dispatch_all(now, out);
+    return out;
+}
+
+} // namespace hornbeamweir::relay
--- /dev/null
+++ b/src/relay/retry_allowance.cpp
@@ -0,0 +1,47 @@
+#include <hornbeamweir/relay/retry_allowance.hpp>
+
+namespace hornbeamweir
+{
+
+namespace
+{
+
+constexpr duration bucket_width = std::chrono::milliseconds{250};
+/// An entry that restarts has forgotten what it repeated in the window.
+constexpr double restarts_per_window = 2;
+
+} // namespace
+
+retry_allowance::bucket& retry_allowance::current(time_point now)
+{
+    while (!buckets_.empty() && now - buckets_.front().start > limits_.window)
+        buckets_.pop_front();
+    if (buckets_.empty() || now - buckets_.back().start >= bucket_width)
+        buckets_.push_back({now, 0, 0});
+    return buckets_.back();
+}
+
+void retry_allowance::on_request(time_point now)
+{
+    ++current(now).requests;
+}
+
+bool retry_allowance::take(std::size_t entries, time_point now)
+{
+    bucket& newest = current(now);
+    double requests = 0;
+    double repeats = 1;
+    for (bucket const& it : buckets_)
+    {
+        requests += it.requests;
+        repeats += it.repeats;
+    }
+    double const share =
+        limits_.allowance / restarts_per_window / static_cast<double>(entries);
+    if (repeats > limits_.ratio * requests + share)
+        return false;
+    ++newest.repeats;
+    return true;
+}
+
+} // namespace hornbeamweir
--- /dev/null
+++ b/src/relay/return_planner.cpp
@@ -0,0 +1,41 @@
+#include <hornbeamweir/relay/return_planner.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace hornbeamweir::relay
+{
+
+namespace
+{
+
+struct return_window
+{
+    refusal_reason reason;
+    duration earliest;
+    duration latest;
+};
+
+using std::chrono::milliseconds;
+
+// Another entry is there at once. Load peaks last for seconds. A broken group
+// forms again within about a second after its ranks are back.
+constexpr std::array<return_window, 3> windows{
+    {{refusal_reason::try_another_entry, milliseconds{20}, milliseconds{120}},
+     {refusal_reason::overload, milliseconds{700}, milliseconds{2400}},
+     {refusal_reason::outage, milliseconds{900}, milliseconds{2000}}}};
+
+} // namespace
+
+duration return_planner::plan(refusal_reason reason, duration time_left)
+{
+    return_window const& window = windows[static_cast<std::size_t>(reason)];
+    double const span =
+        static_cast<double>((window.latest - window.earliest).count());
+    duration const chosen =
+        window.earliest +
+        duration{static_cast<duration::rep>(span * random_.unit())};
+    return std::clamp(time_left / 3, duration{}, chosen);
+}
+
+} // namespace hornbeamweir::relay
--- /dev/null
+++ b/src/replicas/replica_directory.cpp
@@ -0,0 +1,53 @@
+#include <hornbeamweir/replicas/replica_directory.hpp>
+
+namespace hornbeamweir
+{
+
+std::vector<replica_directory::change> replica_directory::take(
+    std::map<backend_server_id, replica> snapshot, time_point now)
+{
+    std::vector<change> changes;
+    if (has_read_ && now - last_read_ > outage)
+        keep_until_ = now + return_time;
+    last_read_ = now;
+    has_read_ = true;
+    for (auto const& [id, next] : snapshot)
+    {
+        auto const it = known_.find(id);
+        if (it == known_.end())
+            changes.push_back({next, "added"});
+        else if (it->second != next)
+            changes.push_back({next, "changed"});
+    }
+    for (auto const& [id, old] : known_)
+    {
+        if (snapshot.contains(id))
+            continue;
+        if (now < keep_until_)
+            snapshot.emplace(id, old);
+        else
+            changes.push_back({old, "removed"});
+    }
+    known_ = std::move(snapshot);
+    return changes;
+}
+
+std::vector<replica const*>
+replica_directory::usable(service_name const& service) const
+{
+    std::vector<replica const*> out;
+    for (auto const& [id, it] : known_)
+    {
+        if (it.service == service && !it.draining)
+            out.push_back(&it);
+    }
+    return out;
+}
+
+replica const* replica_directory::find(backend_server_id const& id) const
+{
+    auto const it = known_.find(id);
+    return it == known_.end() ? nullptr : &it->second;
+}
+
+} // namespace hornbeamweir
--- /dev/null
+++ b/src/routes/route_table.cpp
@@ -0,0 +1,97 @@
+#include <hornbeamweir/routes/route_table.hpp>
+
+#include <algorithm>
+
+namespace hornbeamweir
+{
+
+namespace
+{
+
+std::string lower_case(std::string_view text)
+{
+    std::string out{text};
+    std::transform(
+        out.begin(),
+        out.end(),
+        out.begin(),
+        [](char c)
+        { return c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c; });
+    return out;
+}
+
+std::string_view without_port(std::string_view host)
+{
+    std::size_t const colon = host.rfind(':');
+    std::size_t const bracket = host.rfind(']');
+    bool const has_port =
+        colon != std::string_view::npos &&
+        (bracket == std::string_view::npos || colon > bracket);
+    return has_port ? host.substr(0, colon) : host;
+}
+
+} // namespace
+
+route_table::route_table(route_configuration configuration)
+    : configuration_{std::move(configuration)}
+{
+    for (std::size_t n = 0; n < configuration_.routes.size(); ++n)
+    {
+        route const& it = configuration_.routes[n];
+        by_host_[lower_case(it.host)][it.prefix] = n;
+    }
+}
+
+// Tries each slash of the path from the last to the first, so that the cost
+// depends on the path and not on the number of routes.
+route const*
+route_table::find(std::string_view host, std::string_view target) const
+{
+    auto const by_prefix = by_host_.find(lower_case(without_port(host)));
+    if (by_prefix == by_host_.end())
+        return nullptr;
+    std::string_view path = target.substr(0, target.find('?'));
+    for (std::size_t slash = path.rfind('/'); slash != std::string_view::npos;)
+    {
+        auto const it =
+            by_prefix->second.find(std::string{path.substr(0, slash + 1)});
+        if (it != by_prefix->second.end())
+            return &configuration_.routes[it->second];
+        if (slash == 0)
+            break;
+        slash = path.rfind('/', slash - 1);
+    }
+    return nullptr;
+}
+
+key_holder const* route_table::find_key(std::string const& key) const
+{
+    auto const it = configuration_.keys.find(key);
+    return it == configuration_.keys.end() ? nullptr : &it->second;
+}
+
+service_profile const* route_table::find_service(service_name const& name) const
+{
+    auto const it = std::find_if(
+        configuration_.services.begin(),
+        configuration_.services.end(),
+        [&](service_profile const& service) { return service.name == name; });
+    return it == configuration_.services.end() ? nullptr : &*it;
+}
+
+service_name route_table::choose_service(route const& of, double point)
+{
+    double total = 0;
+    for (route_share const& share : of.shares)
+        total += share.weight;
+    double left = point * total;
+    for (route_share const& share : of.shares)
+    {
+        left -= share.weight;
+        if (left < 0)
+            return share.service;
+    }
+    return of.shares.empty() ? service_name{} : of.shares.back().service;
+}
+
+} // namespace hornbeamweir
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -1,5 +1,6 @@
 #include <hornbeamweir/settings/process_settings.hpp>
-#include <hornbeamweir/settings/yaml_object.hpp>
+
+#include "settings_document.hpp"
 
 namespace hornbeamweir
 {
@@ -83,50 +84,6 @@
     in.number("timeout_ms", out.timeout_ms, {10, 60'000}, presence::optional);
 }
 
-void read_log(yaml_object& in, log_settings& out)
-{
-    in.choice("level", out.level, presence::optional);
-    in.number(
-        "lines_per_second",
-        out.lines_per_second,
-        {1, 1'000'000},
-        presence::optional);
-}
-
-/// Reads a settings document with one function that names its keys.
-template <typename Settings>
-checked<Settings> read_document(
-    std::string const& text,
-    std::string const& file,
-    void (*read)(yaml_object&, Settings&))
-{
-    diagnostics faults;
-    Settings settings;
-    YAML::Node const node = parse_yaml(text, file, faults);
-    if (faults.empty())
-    {
-        yaml_object document{node, file, "", faults};
-        read(document, settings);
-        document.finish();
-    }
-    if (!faults.empty())
-        return tl::unexpected<diagnostics>{std::move(faults)};
-    return settings;
-}
-
-/// Reads a nested mapping with one function that names its keys.
-template <typename Section>
-void section(
-    yaml_object& in,
-    std::string_view key,
-    Section& out,
-    void (*read)(yaml_object&, Section&),
-    presence need)
-{
-    in.object(
-        key, [&](yaml_object& nested) { read(nested, out); }, need);
-}
-
 void read_entry(yaml_object& in, entry_settings& out)
 {
     section(in, "identity", out.identity, read_identity, presence::required);
@@ -144,7 +101,7 @@
         },
         presence::optional);
     section(in, "platform", out.platform, read_platform, presence::required);
-    section(in, "log", out.log, read_log, presence::optional);
+    section(in, "log", out.log, read_log_settings, presence::optional);
 }
 
 void read_agent(yaml_object& in, agent_settings& out)
@@ -155,7 +112,7 @@
     in.address("admin_address", out.admin_address, presence::required);
     section(in, "messages", out.messages, read_messages, presence::required);
     section(in, "platform", out.platform, read_platform, presence::required);
-    section(in, "log", out.log, read_log, presence::optional);
+    section(in, "log", out.log, read_log_settings, presence::optional);
     in.number("retention_s", out.retention_s, {1, 604'800}, presence::optional);
     in.number(
         "retention_bytes",
@@ -172,6 +129,16 @@
 
 } // namespace
 
+void read_log_settings(yaml_object& in, log_settings& out)
+{
+    in.choice("level", out.level, presence::optional);
+    in.number(
+        "lines_per_second",
+        out.lines_per_second,
+        {1, 1'000'000},
+        presence::optional);
+}
+
 checked<entry_settings>
 read_entry_settings(std::string const& text, std::string const& file)
 {
--- /dev/null
+++ b/src/settings/settings_document.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <hornbeamweir/settings/process_settings.hpp>
+#include <hornbeamweir/settings/yaml_object.hpp>
+
+namespace hornbeamweir
+{
+
+/// \brief Reads a settings document with one function that names its keys.
+template <typename Settings>
+checked<Settings> read_document(
+    std::string const& text,
+    std::string const& file,
+    void (*read)(yaml_object&, Settings&))
+{
+    diagnostics faults;
+    Settings settings;
+    YAML::Node const node = parse_yaml(text, file, faults);
+    if (faults.empty())
+    {
+        yaml_object document{node, file, "", faults};
+        read(document, settings);
+        document.finish();
+    }
+    if (!faults.empty())
+        return tl::unexpected<diagnostics>{std::move(faults)};
+    return settings;
+}
+
+/// \brief Reads a nested mapping with one function that names its keys.
+template <typename Section>
+void section(
+    yaml_object& in,
+    std::string_view key,
+    Section& out,
+    void (*read)(yaml_object&, Section&),
+    presence need)
+{
+    in.object(
+        key, [&](yaml_object& nested) { read(nested, out); }, need);
+}
+
+/// \brief Reads the settings of a log.
+void read_log_settings(yaml_object& in, log_settings& out);
+
+} // namespace hornbeamweir
