Balance the experts of lock-step groups by prepare, hold, arm and release

Orders repeat until the rank's report shows their effect, and name the number of orders begun, so that late copies are refused.

Ruled out: orders straight from the coordinator (priced), and the agreement in the lock-step (these engines have none).

--- /dev/null
+++ b/include/hornbeamweir/expert_map/hold_coordinator.hpp
@@ -0,0 +1,163 @@
+#pragma once
+
+#include <hornbeamweir/expert_map/rank_state.hpp>
+#include <hornbeamweir/telemetry/event_log.hpp>
+
+#include <map>
+#include <set>
+
+namespace hornbeamweir
+{
+
+/// \brief Switches the expert maps of a group whose ranks compare none: all
+/// ranks copy the new map, one holds a pass back, all are armed for that pass,
+/// and it is released.
+/// \remarks Sans-I/O. Orders may be lost or carried out seconds later, so that
+/// each is repeated until the rank's own report shows its effect, and names
+/// the number of orders that the rank must have begun: once a later order has
+/// begun, late copies are refused. Ranks are armed for a pass only while it is
+/// held, and it is released only when all of them are armed or none can be.
+class hold_coordinator
+{
+public:
+    enum class phase
+    {
+        /// No map is being changed.
+        idle,
+        /// Ranks copy the experts of a map.
+        preparing,
+        /// One rank is told not to let the pass of the switch begin.
+        holding,
+        /// Ranks are told to switch as that pass begins.
+        arming,
+        /// The pass is let go.
+        releasing,
+        /// What an abandoned change has left is taken back.
+        clearing
+    };
+
+    explicit hold_coordinator(event_log& log)
+        : log_{log}
+    {
+    }
+
+    /// \brief Begins to coordinate.
+    /// \param fence Rises with each coordinator of the group.
+    /// \param home Rank on this VM, at which passes are held.
+    void lead(std::uint64_t fence, std::uint32_t home, time_point now);
+
+    /// \brief Ceases to coordinate; the next coordinator clears up.
+    void step_down(time_point now);
+
+    /// \param experts The map in force at the rank, if the report has it.
+    void on_report(
+        rank_state const& state,
+        std::optional<rank_experts> experts,
+        time_point now);
+
+    /// \brief Whether a new map may be started.
+    [[nodiscard]] bool ready_for_map(time_point now) const;
+
+    /// \brief The map in force.
+    /// \returns Nothing until all ranks have reported the same version.
+    [[nodiscard]] std::optional<group_experts> in_force() const;
+
+    /// \brief Starts the change to a map.
+    void start(group_experts mapping, time_point now);
+
+    /// \brief Returns the orders that are due.
+    [[nodiscard]] std::vector<rank_order> on_tick(time_point now);
+
+    [[nodiscard]] phase at() const noexcept { return phase_; }
+    [[nodiscard]] bool leading() const noexcept { return leading_; }
+    [[nodiscard]] std::uint64_t fence() const noexcept { return fence_; }
+    [[nodiscard]] std::uint64_t maps_switched() const noexcept
+    {
+        return switched_;
+    }
+
+    /// \brief Ranks whose reports are needed now and older than an age.
+    [[nodiscard]] std::vector<std::uint32_t>
+    unheard(duration age, time_point now) const;
+
+private:
+    struct view
+    {
+        rank_state state;
+        rank_experts experts;
+        std::uint64_t experts_version = 0;
+        std::uint64_t experts_epoch = 0;
+        time_point at{};
+    };
+
+    struct sent_order
+    {
+        rank_operation operation = rank_operation::prepare;
+        std::uint64_t version = 0;
+        std::uint64_t step = 0;
+        std::uint64_t expected_orders = 0;
+        time_point at{};
+    };
+
+    using orders = std::vector<rank_order>;
+
+    [[nodiscard]] bool complete(time_point now) const;
+    [[nodiscard]] std::uint64_t newest_epoch() const;
+    [[nodiscard]] std::uint64_t latest_step() const;
+    [[nodiscard]] std::uint64_t next_version();
+    [[nodiscard]] std::set<std::uint32_t> armed_ranks() const;
+    [[nodiscard]] bool is_armed(view const& of) const;
+
+    void enter(phase next, std::string_view reason, time_point now);
+    void order(
+        std::uint32_t rank,
+        rank_operation operation,
+        std::uint64_t version,
+        std::uint64_t step,
+        time_point now,
+        orders& out);
+
+    void run_idle(time_point now, orders& out);
+    void run_preparing(time_point now, orders& out);
+    void run_holding(time_point now, orders& out);
+    void run_arming(time_point now, orders& out);
+    void run_releasing(time_point now, orders& out);
+    void run_clearing(time_point now, orders& out);
+    void clear_armed(
+        std::set<std::uint32_t> const& armed, time_point now, orders& out);
+
+    event_log& log_;
+    bool leading_ = false;
+    std::uint64_t fence_ = 0;
+    std::uint32_t home_ = 0;
+    std::map<std::uint32_t, view> views_;
+    std::map<std::uint32_t, sent_order> sent_;
+    phase phase_ = phase::idle;
+    time_point entered_{};
+    time_point act_from_{};
+    std::uint64_t epoch_ = 0;
+    std::uint64_t version_ = 0;
+    std::uint64_t step_ = 0;
+    std::uint64_t last_version_ = 0;
+    group_experts mapping_;
+    /// Ranks that have begun an order of the phase clearing.
+    std::set<std::uint32_t> cleared_;
+    bool disarming_ = false;
+    std::optional<time_point> held_since_;
+    std::uint64_t switched_ = 0;
+};
+
+template <>
+struct enum_table<hold_coordinator::phase>
+{
+    using phase = hold_coordinator::phase;
+    static constexpr std::array<enum_name<phase>, 6> rows{
+        {{phase::idle, "idle"},
+         {phase::preparing, "preparing"},
+         {phase::holding, "holding"},
+         {phase::arming, "arming"},
+         {phase::releasing, "releasing"},
+         {phase::clearing, "clearing"}}};
+};
+
+} // namespace hornbeamweir
--- /dev/null
+++ b/include/hornbeamweir/expert_map/rank_codec.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <hornbeamweir/core/error.hpp>
+#include <hornbeamweir/expert_map/rank_state.hpp>
+#include <hornbeamweir/http/http_exchange.hpp>
+
+namespace hornbeamweir
+{
+
+/// \brief Choices of experts since a rank's start, by set and expert.
+struct choice_counts
+{
+    std::uint64_t epoch = 0;
+    std::uint64_t start = 0;
+    std::vector<std::uint64_t> counts;
+
+    [[nodiscard]] friend bool
+    operator==(choice_counts const&, choice_counts const&) = default;
+};
+
+/// \brief Translates between a deployment's engines and the types of expert
+/// maps.
+class rank_codec
+{
+public:
+    rank_codec() = default;
+    rank_codec(rank_codec const&) = delete;
+    rank_codec& operator=(rank_codec const&) = delete;
+    virtual ~rank_codec() = default;
+
+    [[nodiscard]] virtual http_request_message report_request() const = 0;
+    [[nodiscard]] virtual result<rank_state>
+    decode_report(std::string_view body) const = 0;
+    [[nodiscard]] virtual http_request_message counts_request() const = 0;
+    [[nodiscard]] virtual result<choice_counts>
+    decode_counts(std::string_view body) const = 0;
+    [[nodiscard]] virtual http_request_message experts_request() const = 0;
+    /// \brief Reads the experts that the rank holds in the map in force.
+    [[nodiscard]] virtual result<rank_experts>
+    decode_experts(std::string_view body, std::uint32_t rank) const = 0;
+    [[nodiscard]] virtual http_request_message
+    order_request(rank_order const& order) const = 0;
+};
+
+} // namespace hornbeamweir
--- /dev/null
+++ b/include/hornbeamweir/peers/rank_messages.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <hornbeamweir/expert_map/rank_codec.hpp>
+
+#include <peers.pb.h>
+
+/// \file
+/// \brief Ranks' states and orders in datagrams.
+
+namespace hornbeamweir
+{
+
+[[nodiscard]] wire::rank_report to_wire(rank_state const& state);
+[[nodiscard]] rank_state from_wire(wire::rank_report const& in);
+[[nodiscard]] wire::rank_order to_wire(rank_order const& order);
+[[nodiscard]] rank_order from_wire(wire::rank_order const& in);
+
+void add_experts(rank_experts const& experts, wire::rank_report& out);
+/// \returns Nothing if the report carries no experts.
+[[nodiscard]] std::optional<rank_experts>
+experts_of(wire::rank_report const& in);
+
+} // namespace hornbeamweir
--- a/include/hornbeamweir/replicas/replica_directory.hpp
+++ b/include/hornbeamweir/replicas/replica_directory.hpp
@@ -37,6 +37,10 @@
 
     [[nodiscard]] replica const* find(backend_server_id const& id) const;
 
+    /// \returns The replica that serves at an address; null if none does.
+    [[nodiscard]] replica const*
+    find_by_address(std::string const& address) const;
+
     [[nodiscard]] std::size_t size() const noexcept { return known_.size(); }
 
 private:
--- a/include/hornbeamweir/settings/relay_settings.hpp
+++ b/include/hornbeamweir/settings/relay_settings.hpp
@@ -37,6 +37,8 @@
 {
     process_name name;
     data_centre_id data_centre;
+    /// Service of the rank, as it is configured.
+    std::string service;
     std::string rank_address;
     std::string peers_address;
     std::string metrics_address;
--- /dev/null
+++ b/src/daemon/group_coordination.cpp
@@ -0,0 +1,176 @@
+#include "group_coordination.hpp"
+
+namespace hornbeamweir
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// The engines' figures change with the configuration, rarely.
+constexpr duration profile_interval = std::chrono::seconds{10};
+constexpr duration profile_retry = milliseconds{500};
+/// Demand changes every few seconds, and a decision costs milliseconds of
+/// processor time.
+constexpr duration plan_interval = milliseconds{250};
+/// Age of a report from which a rank is asked without its agent.
+constexpr duration silence = milliseconds{350};
+
+} // namespace
+
+group_coordination::group_coordination(
+    boost::asio::io_context& context,
+    platform& service,
+    relay_codec const& records,
+    event_log& log,
+    metrics_registry& metrics,
+    clock_function clock,
+    random_source random,
+    std::string self,
+    std::function<void(rank_order const&)> send)
+    : platform_{service}
+    , records_{records}
+    , log_{log}
+    , metrics_{metrics}
+    , clock_{clock}
+    , send_{std::move(send)}
+    , leadership_{context, service, log, clock, random, std::move(self)}
+    , coordinator_{log}
+{
+}
+
+void group_coordination::on_own_rank(
+    rank_state const& state, service_name const& service)
+{
+    group_ = state.group;
+    rank_ = state.rank;
+    service_ = service;
+    leadership_.set_key("hornbeamweir/groups/" + group_.str() + "/coordinator");
+}
+
+void group_coordination::on_beat(wire::coordinator_beat const& beat)
+{
+    if (beat.group() == group_.str())
+        leadership_.on_heard_leader();
+}
+
+void group_coordination::on_report(wire::rank_report const& report)
+{
+    if (report.group() != group_.str())
+        return;
+    time_point const now = clock_();
+    addresses_[report.rank()] = report.address();
+    paces_[report.rank()] = report.pace();
+    coordinator_.on_report(from_wire(report), experts_of(report), now);
+    if (report.counts_size() > 0)
+    {
+        choice_counts counts;
+        counts.epoch = report.epoch();
+        counts.start = report.start();
+        counts.counts.assign(report.counts().begin(), report.counts().end());
+        planner_.on_counts(report.rank(), counts, now);
+    }
+    if (report.fenced() && coordinator_.leading())
+        leadership_.resign();
+}
+
+void group_coordination::follow_duty()
+{
+    time_point const now = clock_();
+    bool const holds = leadership_.leading();
+    if (holds && !coordinator_.leading())
+    {
+        addresses_.clear();
+        coordinator_.lead(leadership_.fence(), rank_, now);
+        read_profile();
+    }
+    else if (!holds && coordinator_.leading())
+        coordinator_.step_down(now);
+}
+
+void group_coordination::on_tick()
+{
+    leadership_.on_tick();
+    follow_duty();
+    if (!coordinator_.leading())
+        return;
+    time_point const now = clock_();
+    duration const due = engine_ ? profile_interval : profile_retry;
+    if (now - profile_read_ >= due)
+        read_profile();
+    if (now - planned_ >= plan_interval && coordinator_.ready_for_map(now))
+        plan(now);
+    for (rank_order const& order : coordinator_.on_tick(now))
+    {
+        metrics_.count(
+            "hornbeamweir_rank_orders_total",
+            {{"operation", std::string{name_of(order.operation)}}});
+        send_(order);
+    }
+}
+
+void group_coordination::read_profile()
+{
+    profile_read_ = clock_();
+    platform_.read(
+        records_.configuration_key(),
+        [this, weak = std::weak_ptr{alive_}](result<range_reply> const& reply)
+        {
+            if (weak.expired() || !reply || reply->values.empty())
+                return;
+            result<route_configuration> const decoded =
+                records_.decode_configuration(
+                    reply->values.begin()->second.value);
+            if (!decoded)
+                return;
+            for (service_profile const& it : decoded->services)
+            {
+                if (it.name == service_)
+                    engine_ = it.engine;
+            }
+        });
+}
+
+void group_coordination::plan(time_point now)
+{
+    planned_ = now;
+    std::optional<group_experts> const current = coordinator_.in_force();
+    if (!engine_ || !current)
+        return;
+    std::vector<double> paces;
+    for (auto const& [rank, pace] : paces_)
+        paces.push_back(std::max(1.0, pace));
+    std::optional<planned_map> next =
+        planner_.plan(*current, *engine_, paces, now);
+    if (!next)
+        return;
+    event line{"map_planned"};
+    line.with(
+            "skew_before", next->before / static_cast<double>(current->size()))
+        .with("skew_after", next->after / static_cast<double>(current->size()))
+        .with("moves", next->moves);
+    log_.info(line);
+    metrics_.count("hornbeamweir_maps_planned_total", {});
+    coordinator_.start(std::move(next->experts), now);
+}
+
+std::vector<std::string> group_coordination::silent_ranks() const
+{
+    std::vector<std::string> out;
+    for (std::uint32_t const rank : coordinator_.unheard(silence, clock_()))
+    {
+        std::string address = address_of(rank);
+        if (!address.empty())
+            out.push_back(std::move(address));
+    }
+    return out;
+}
+
+std::string group_coordination::address_of(std::uint32_t rank) const
+{
+    auto const it = addresses_.find(rank);
+    return it == addresses_.end() ? std::string{} : it->second;
+}
+
+} // namespace hornbeamweir
--- /dev/null
+++ b/src/daemon/group_coordination.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <hornbeamweir/expert_map/hold_coordinator.hpp>
+#include <hornbeamweir/expert_map/map_planner.hpp>
+#include <hornbeamweir/peers/leadership.hpp>
+#include <hornbeamweir/peers/rank_messages.hpp>
+#include <hornbeamweir/relay/relay_codec.hpp>
+#include <hornbeamweir/telemetry/metrics_registry.hpp>
+
+namespace hornbeamweir
+{
+
+/// \brief Coordinates a group's maps while this process holds the duty:
+/// connects leadership, demand, placement and the switch of maps.
+class group_coordination
+{
+public:
+    using clock_function = time_point (*)() noexcept;
+
+    /// \param send Sends an order to a rank.
+    group_coordination(
+        boost::asio::io_context& context,
+        platform& service,
+        relay_codec const& records,
+        event_log& log,
+        metrics_registry& metrics,
+        clock_function clock,
+        random_source random,
+        std::string self,
+        std::function<void(rank_order const&)> send);
+    group_coordination(group_coordination const&) = delete;
+    group_coordination& operator=(group_coordination const&) = delete;
+    ~group_coordination() = default;
+
+    /// \brief Notes the group and service of the rank beside this process.
+    void on_own_rank(rank_state const& state, service_name const& service);
+
+    /// \brief Takes a report of any rank of the group.
+    void on_report(wire::rank_report const& report);
+
+    void on_beat(wire::coordinator_beat const& beat);
+
+    void on_tick();
+
+    [[nodiscard]] bool leading() const { return coordinator_.leading(); }
+    [[nodiscard]] std::uint64_t fence() const noexcept
+    {
+        return leadership_.fence();
+    }
+    [[nodiscard]] model_group_id const& group() const noexcept
+    {
+        return group_;
+    }
+    /// \brief Addresses of ranks whose agents are silent while reports are
+    /// needed.
+    [[nodiscard]] std::vector<std::string> silent_ranks() const;
+    [[nodiscard]] std::string address_of(std::uint32_t rank) const;
+
+private:
+    void follow_duty();
+    void read_profile();
+    void plan(time_point now);
+
+    platform& platform_;
+    relay_codec const& records_;
+    event_log& log_;
+    metrics_registry& metrics_;
+    clock_function clock_;
+    std::function<void(rank_order const&)> send_;
+    leadership leadership_;
+    hold_coordinator coordinator_;
+    map_planner planner_;
+    model_group_id group_;
+    service_name service_;
+    std::uint32_t rank_ = 0;
+    std::map<std::uint32_t, std::string> addresses_;
+    std::map<std::uint32_t, double> paces_;
+    std::optional<engine_profile> engine_;
+    time_point profile_read_{};
+    time_point planned_{};
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace hornbeamweir
--- /dev/null
+++ b/src/daemon/rank_client.cpp
@@ -0,0 +1,163 @@
+#include "rank_client.hpp"
+
+#include <hornbeamweir/core/socket_address.hpp>
+
+namespace hornbeamweir
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t max_idle_connections = 3;
+/// Reports need no slot of the rank and come at once.
+constexpr duration report_timeout = milliseconds{300};
+/// An order that is not answered by then may be carried out late.
+constexpr duration order_timeout = milliseconds{60};
+constexpr duration connect_timeout = milliseconds{200};
+constexpr unsigned ok = 200;
+
+template <typename T>
+result<T> decode(
+    result<std::pair<unsigned, std::string>> const& answer,
+    std::function<result<T>(std::string const&)> const& read)
+{
+    if (!answer)
+        return tl::unexpected<error>{answer.error()};
+    if (answer->first != ok)
+    {
+        return failure(
+            result_code::backend_failed,
+            "found status " + std::to_string(answer->first) +
+                " of the rank, expected 200");
+    }
+    return read(answer->second);
+}
+
+} // namespace
+
+struct rank_client::pending_call
+{
+    answer_handler done;
+    unsigned status = 0;
+    std::string body;
+    std::unique_ptr<pooled_call> call;
+};
+
+rank_client::rank_client(
+    boost::asio::io_context& context, rank_codec const& codec)
+    : codec_{codec}
+    , pool_{context, max_idle_connections}
+{
+}
+
+rank_client::~rank_client() = default;
+
+void rank_client::call(
+    std::string const& address,
+    http_request_message request,
+    duration timeout,
+    answer_handler done)
+{
+    std::optional<boost::asio::ip::tcp::endpoint> const server =
+        tcp_endpoint(address);
+    if (!server)
+        return;
+    std::uint64_t const number = ++last_number_;
+    std::unique_ptr<pending_call>& slot = pending_[number];
+    slot = std::make_unique<pending_call>();
+    pending_call& it = *slot;
+    it.done = std::move(done);
+    std::function<void(result<std::pair<unsigned, std::string>>)> const finish =
+        [this, number](result<std::pair<unsigned, std::string>> outcome)
+    {
+        auto const found = pending_.find(number);
+        if (found == pending_.end())
+            return;
+        std::unique_ptr<pending_call> const ended = std::move(found->second);
+        pending_.erase(found);
+        ended->done(std::move(outcome));
+    };
+    pooled_call_handlers handlers;
+    handlers.head = [&it](unsigned status, header_list const&)
+    { it.status = status; };
+    handlers.data = [&it](std::string const& bytes) { it.body += bytes; };
+    handlers.ended = [&it, finish] {
+        finish(std::pair{it.status, std::move(it.body)});
+    };
+    handlers.failed = [finish](error const& reason, bool)
+    { finish(tl::unexpected<error>{reason}); };
+    pooled_call_options options;
+    options.connect_timeout = connect_timeout;
+    options.timeout = timeout;
+    it.call = pool_.call(
+        *server, std::move(request), std::move(options), std::move(handlers));
+}
+
+void rank_client::read_report(
+    std::string const& address, handler<rank_state> done)
+{
+    call(
+        address,
+        codec_.report_request(),
+        report_timeout,
+        [this, done](result<std::pair<unsigned, std::string>> const& answer)
+        {
+            done(decode<rank_state>(
+                answer,
+                [this](std::string const& body)
+                { return codec_.decode_report(body); }));
+        });
+}
+
+void rank_client::read_counts(
+    std::string const& address, handler<choice_counts> done)
+{
+    call(
+        address,
+        codec_.counts_request(),
+        report_timeout,
+        [this, done](result<std::pair<unsigned, std::string>> const& answer)
+        {
+            done(decode<choice_counts>(
+                answer,
+                [this](std::string const& body)
+                { return codec_.decode_counts(body); }));
+        });
+}
+
+void rank_client::read_experts(
+    std::string const& address, std::uint32_t rank, handler<rank_experts> done)
+{
+    call(
+        address,
+        codec_.experts_request(),
+        report_timeout,
+        [this, rank, done](
+            result<std::pair<unsigned, std::string>> const& answer)
+        {
+            done(decode<rank_experts>(
+                answer,
+                [this, rank](std::string const& body)
+                { return codec_.decode_experts(body, rank); }));
+        });
+}
+
+void rank_client::send_order(
+    std::string const& address, rank_order const& order, handler<unsigned> done)
+{
+    call(
+        address,
+        codec_.order_request(order),
+        order_timeout,
+        [done](result<std::pair<unsigned, std::string>> const& answer)
+        {
+            if (answer)
+                done(answer->first);
+            else
+                done(tl::unexpected<error>{answer.error()});
+        });
+}
+
+} // namespace hornbeamweir
--- /dev/null
+++ b/src/daemon/rank_client.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <hornbeamweir/expert_map/rank_codec.hpp>
+#include <hornbeamweir/http/connection_pool.hpp>
+#include <hornbeamweir/telemetry/event_log.hpp>
+
+#include <map>
+
+namespace hornbeamweir
+{
+
+/// \brief Calls a rank's own interface.
+class rank_client
+{
+public:
+    template <typename T>
+    using handler = std::function<void(result<T>)>;
+
+    rank_client(boost::asio::io_context& context, rank_codec const& codec);
+    ~rank_client();
+    rank_client(rank_client const&) = delete;
+    rank_client& operator=(rank_client const&) = delete;
+
+    void read_report(std::string const& address, handler<rank_state> done);
+    void read_counts(std::string const& address, handler<choice_counts> done);
+    void read_experts(
+        std::string const& address,
+        std::uint32_t rank,
+        handler<rank_experts> done);
+    /// \brief Sends an order; the handler receives the answer's status.
+    void send_order(
+        std::string const& address,
+        rank_order const& order,
+        handler<unsigned> done);
+
+private:
+    struct pending_call;
+    using answer_handler =
+        std::function<void(result<std::pair<unsigned, std::string>>)>;
+
+    void call(
+        std::string const& address,
+        http_request_message request,
+        duration timeout,
+        answer_handler done);
+
+    rank_codec const& codec_;
+    connection_pool pool_;
+    std::map<std::uint64_t, std::unique_ptr<pending_call>> pending_;
+    std::uint64_t last_number_ = 0;
+};
+
+} // namespace hornbeamweir
--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -208,9 +208,14 @@
         else if (message.has_report())
         {
             wire::rank_report const& report = message.report();
-            core_.loads().on_rank(
-                backend_server_id{report.replica()},
-                {report.open(), std::max(1.0, report.pace()), now});
+            replica const* const rank =
+                core_.replicas().find_by_address(report.address());
+            if (rank)
+            {
+                core_.loads().on_rank(
+                    rank->id,
+                    {report.open(), std::max(1.0, report.pace()), now});
+            }
         }
     }
 
--- /dev/null
+++ b/src/expert_map/hold_coordinator.cpp
@@ -0,0 +1,265 @@
+#include <hornbeamweir/expert_map/hold_coordinator.hpp>
+
+#include <algorithm>
+
+namespace hornbeamweir
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// A report older than this says nothing of a rank.
+constexpr duration report_validity = milliseconds{1200};
+/// Time for orders of an earlier coordinator that are on their way.
+constexpr duration settle_time = milliseconds{400};
+/// Time without effect after which an order is repeated.
+constexpr duration repeat_after = milliseconds{70};
+/// Leaves room for the versions of one coordinator below the next one's.
+constexpr std::uint64_t versions_per_fence = 1000;
+
+} // namespace
+
+void hold_coordinator::lead(
+    std::uint64_t fence, std::uint32_t home, time_point now)
+{
+    leading_ = true;
+    fence_ = fence;
+    home_ = home;
+    act_from_ = now + settle_time;
+    sent_.clear();
+    enter(phase::clearing, "coordination begins", now);
+}
+
+void hold_coordinator::step_down(time_point now)
+{
+    if (!leading_)
+        return;
+    leading_ = false;
+    enter(phase::idle, "coordination ends", now);
+}
+
+void hold_coordinator::on_report(
+    rank_state const& state,
+    std::optional<rank_experts> experts,
+    time_point now)
+{
+    view& it = views_[state.rank];
+    // Reports of one rank may overtake each other.
+    bool const same_epoch = state.epoch == it.state.epoch;
+    bool const same_start = same_epoch && state.start == it.state.start;
+    bool const older = state.epoch < it.state.epoch ||
+                       (same_epoch && state.start < it.state.start) ||
+                       (same_start && (state.orders < it.state.orders ||
+                                       state.step < it.state.step));
+    if (older)
+        return;
+    it.state = state;
+    it.at = now;
+    if (experts)
+    {
+        it.experts = std::move(*experts);
+        it.experts_version = state.map_version;
+        it.experts_epoch = state.epoch;
+    }
+}
+
+bool hold_coordinator::complete(time_point now) const
+{
+    if (views_.empty())
+        return false;
+    std::uint32_t const ranks = views_.begin()->second.state.ranks;
+    std::uint64_t const epoch = newest_epoch();
+    std::size_t usable = 0;
+    for (auto const& [rank, it] : views_)
+    {
+        if (rank < ranks && it.state.open && it.state.epoch == epoch &&
+            now - it.at <= report_validity)
+            ++usable;
+    }
+    return ranks > 0 && usable == ranks;
+}
+
+std::uint64_t hold_coordinator::newest_epoch() const
+{
+    std::uint64_t out = 0;
+    for (auto const& [rank, it] : views_)
+        out = std::max(out, it.state.epoch);
+    return out;
+}
+
+std::uint64_t hold_coordinator::latest_step() const
+{
+    std::uint64_t out = 0;
+    for (auto const& [rank, it] : views_)
+        out = std::max(out, it.state.step);
+    return out;
+}
+
+std::uint64_t hold_coordinator::next_version()
+{
+    std::uint64_t newest = std::max(last_version_, fence_ * versions_per_fence);
+    for (auto const& [rank, it] : views_)
+    {
+        newest = std::max(
+            {newest,
+             it.state.map_version,
+             it.state.prepared_version,
+             it.state.armed_version});
+    }
+    last_version_ = newest + 1;
+    return last_version_;
+}
+
+bool hold_coordinator::is_armed(view const& of) const
+{
+    return of.state.armed_version != 0 &&
+           of.state.armed_version != of.state.map_version;
+}
+
+std::set<std::uint32_t> hold_coordinator::armed_ranks() const
+{
+    std::set<std::uint32_t> out;
+    for (auto const& [rank, it] : views_)
+    {
+        if (is_armed(it))
+            out.insert(rank);
+    }
+    return out;
+}
+
+bool hold_coordinator::ready_for_map(time_point now) const
+{
+    return leading_ && phase_ == phase::idle && complete(now) && !held_since_ &&
+           in_force().has_value();
+}
+
+std::optional<group_experts> hold_coordinator::in_force() const
+{
+    group_experts out;
+    std::uint64_t const epoch = newest_epoch();
+    for (auto const& [rank, it] : views_)
+    {
+        bool const same =
+            it.experts_epoch == epoch && it.state.epoch == epoch &&
+            it.experts_version == it.state.map_version &&
+            it.state.map_version == views_.begin()->second.state.map_version;
+        if (!same || rank >= it.state.ranks)
+            return std::nullopt;
+        out.resize(std::max(out.size(), it.experts.size()));
+        for (std::size_t set = 0; set < it.experts.size(); ++set)
+        {
+            out[set].resize(it.state.ranks);
+            out[set][rank] = it.experts[set];
+        }
+    }
+    bool const whole = !views_.empty() &&
+                       views_.size() == views_.begin()->second.state.ranks &&
+                       !out.empty();
+    return whole ? std::optional{std::move(out)} : std::nullopt;
+}
+
+void hold_coordinator::enter(
+    phase next, std::string_view reason, time_point now)
+{
+    event line{"map_change"};
+    line.with("phase", name_of(next))
+        .with("from", name_of(phase_))
+        .with("after_ms", (now - entered_).count() / 1000)
+        .with("reason", reason)
+        .with("fence", fence_)
+        .with("epoch", epoch_)
+        .with("version", version_)
+        .with("step", step_);
+    log_.info(line);
+    phase_ = next;
+    entered_ = now;
+    sent_.clear();
+    cleared_.clear();
+    disarming_ = false;
+    if (next == phase::clearing)
+        version_ = next_version();
+}
+
+void hold_coordinator::order(
+    std::uint32_t rank,
+    rank_operation operation,
+    std::uint64_t version,
+    std::uint64_t step,
+    time_point now,
+    orders& out)
+{
+    view const& of = views_.at(rank);
+    auto const last = sent_.find(rank);
+    bool const repeated =
+        last != sent_.end() && last->second.operation == operation &&
+        last->second.version == version && last->second.step == step &&
+        last->second.expected_orders == of.state.orders;
+    if (repeated && now - last->second.at < repeat_after)
+        return;
+    sent_[rank] = {operation, version, step, of.state.orders, now};
+    rank_order it;
+    it.rank = rank;
+    it.operation = operation;
+    it.version = version;
+    it.step = step;
+    it.epoch = of.state.epoch;
+    it.fence = fence_;
+    it.expected_orders = of.state.orders;
+    if (operation == rank_operation::prepare)
+        it.mapping = mapping_;
+    out.push_back(std::move(it));
+}
+
+void hold_coordinator::start(group_experts mapping, time_point now)
+{
+    mapping_ = std::move(mapping);
+    epoch_ = newest_epoch();
+    version_ = next_version();
+    step_ = 0;
+    enter(phase::preparing, "a better map was found", now);
+}
+
+std::vector<rank_order> hold_coordinator::on_tick(time_point now)
+{
+    orders out;
+    if (!leading_ || now < act_from_ || views_.empty())
+        return out;
+    std::uint64_t const epoch = newest_epoch();
+    if (epoch != epoch_)
+    {
+        epoch_ = epoch;
+        // A new epoch begins with the first map, and nothing armed or held.
+        if (phase_ != phase::idle && phase_ != phase::clearing)
+            enter(phase::clearing, "the group has formed anew", now);
+    }
+    using step_function = void (hold_coordinator::*)(time_point, orders&);
+    static constexpr std::array<step_function, 6> steps{
+        &hold_coordinator::run_idle,
+        &hold_coordinator::run_preparing,
+        &hold_coordinator::run_holding,
+        &hold_coordinator::run_arming,
+        &hold_coordinator::run_releasing,
+        &hold_coordinator::run_clearing};
+    (this->*steps[static_cast<std::size_t>(phase_)])(now, out);
+    return out;
+}
+
+std::vector<std::uint32_t>
+hold_coordinator::unheard(duration age, time_point now) const
+{
+    std::vector<std::uint32_t> out;
+    bool const needed = leading_ && phase_ != phase::idle &&
+                        phase_ != phase::preparing && now >= act_from_;
+    if (!needed)
+        return out;
+    for (auto const& [rank, it] : views_)
+    {
+        if (now - it.at > age)
+            out.push_back(rank);
+    }
+    return out;
+}
+
+} // namespace hornbeamweir
--- /dev/null
+++ b/src/peers/leadership.cpp
@@ -0,0 +1,168 @@
+#include <hornbeamweir/peers/leadership.hpp>
+
+namespace hornbeamweir
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// A dead leader is replaced after this time; a renewal that is lost must not
+/// end it.
+constexpr duration lease_time = milliseconds{3000};
+constexpr duration keep_interval = milliseconds{800};
+/// Taken off the lease's end, for the orders that are on their way.
+constexpr duration validity_margin = milliseconds{400};
+/// Silence of a leader after which others campaign.
+constexpr duration silence = milliseconds{1200};
+constexpr duration campaign_interval = milliseconds{900};
+/// Spread of campaigns, so that they do not meet.
+constexpr duration campaign_spread = milliseconds{600};
+
+} // namespace
+
+leadership::leadership(
+    boost::asio::io_context&,
+    platform& service,
+    event_log& log,
+    clock_function clock,
+    random_source random,
+    std::string holder)
+    : platform_{service}
+    , log_{log}
+    , clock_{clock}
+    , random_{random}
+    , holder_{std::move(holder)}
+{
+}
+
+void leadership::wait(duration least)
+{
+    double const spread =
+        static_cast<double>(campaign_spread.count()) * random_.unit();
+    next_action_ =
+        clock_() + least + duration{static_cast<duration::rep>(spread)};
+}
+
+void leadership::set_key(std::string key)
+{
+    if (key == key_)
+        return;
+    key_ = std::move(key);
+    wait({});
+}
+
+void leadership::on_heard_leader()
+{
+    if (!leading())
+        wait(silence);
+}
+
+void leadership::resign()
+{
+    if (leading())
+    {
+        event line{"duty_resigned"};
+        line.with("key", key_).with("fence", fence_);
+        log_.warning(line);
+    }
+    valid_until_ = {};
+    wait(campaign_interval);
+}
+
+bool leadership::leading() const
+{
+    return clock_() < valid_until_;
+}
+
+void leadership::on_tick()
+{
+    if (busy_ || key_.empty() || clock_() < next_action_)
+        return;
+    if (leading())
+        keep();
+    else
+        campaign();
+}
+
+void leadership::campaign()
+{
+    busy_ = true;
+    time_point const asked = clock_();
+    platform_.grant_lease(
+        lease_time,
+        [this, asked, weak = std::weak_ptr{alive_}](
+            result<std::int64_t> const& lease)
+        {
+            if (!weak.expired())
+                on_granted(lease, asked);
+        });
+}
+
+void leadership::on_granted(result<std::int64_t> const& lease, time_point asked)
+{
+    if (!lease)
+    {
+        busy_ = false;
+        wait(campaign_interval);
+        return;
+    }
+    lease_ = *lease;
+    transaction take;
+    take.conditions.push_back({key_, 0});
+    take.writes.push_back({key_, holder_, lease_});
+    platform_.commit(
+        std::move(take),
+        [this, asked, weak = std::weak_ptr{alive_}](
+            result<transaction_reply> const& reply)
+        {
+            if (weak.expired())
+                return;
+            busy_ = false;
+            wait(campaign_interval);
+            if (!reply || !reply->succeeded)
+                return;
+            fence_ = static_cast<std::uint64_t>(reply->revision);
+            valid_until_ = asked + lease_time - validity_margin;
+            next_action_ = clock_() + keep_interval;
+            event line{"duty_taken"};
+            line.with("key", key_).with("fence", fence_);
+            log_.info(line);
+        });
+}
+
+// The lease runs from the arrival of the call, which is not before it was made.
+void leadership::keep()
+{
+    busy_ = true;
+    time_point const asked = clock_();
+    platform_.keep_alive(
+        lease_,
+        [this, asked, weak = std::weak_ptr{alive_}](
+            result<duration> const& left)
+        {
+            if (weak.expired())
+                return;
+            busy_ = false;
+            if (left)
+            {
+                valid_until_ = asked + lease_time - validity_margin;
+                next_action_ = clock_() + keep_interval;
+                return;
+            }
+            constexpr duration retry = milliseconds{150};
+            next_action_ = clock_() + retry;
+            if (left.error().code != result_code::platform_refused)
+                return;
+            event line{"duty_lost"};
+            line.with("key", key_)
+                .with("fence", fence_)
+                .with("reason", left.error().message);
+            log_.warning(line);
+            valid_until_ = {};
+            wait(campaign_interval);
+        });
+}
+
+} // namespace hornbeamweir
--- /dev/null
+++ b/src/peers/rank_messages.cpp
@@ -0,0 +1,131 @@
+#include <hornbeamweir/peers/rank_messages.hpp>
+
+namespace hornbeamweir
+{
+
+namespace
+{
+
+template <typename Numbers>
+std::vector<std::uint16_t> narrow(Numbers const& in)
+{
+    std::vector<std::uint16_t> out;
+    out.reserve(static_cast<std::size_t>(in.size()));
+    for (std::uint32_t const it : in)
+        out.push_back(static_cast<std::uint16_t>(it));
+    return out;
+}
+
+void fill(std::vector<std::uint16_t> const& in, wire::expert_set& out)
+{
+    for (std::uint16_t const it : in)
+        out.add_experts(it);
+}
+
+} // namespace
+
+wire::rank_report to_wire(rank_state const& state)
+{
+    wire::rank_report out;
+    out.set_group(state.group.str());
+    out.set_epoch(state.epoch);
+    out.set_rank(state.rank);
+    out.set_ranks(state.ranks);
+    out.set_open(state.open);
+    out.set_step(state.step);
+    out.set_orders(state.orders);
+    out.set_start(state.start);
+    out.set_active(state.active);
+    out.set_queued(state.queued);
+    out.set_pace(state.pace);
+    out.set_map_version(state.map_version);
+    out.set_prepared_version(state.prepared_version);
+    out.set_armed_version(state.armed_version);
+    out.set_armed_step(state.armed_step);
+    if (state.held_step)
+        out.set_held_step(*state.held_step);
+    return out;
+}
+
+rank_state from_wire(wire::rank_report const& in)
+{
+    rank_state out;
+    out.group = model_group_id{in.group()};
+    out.epoch = in.epoch();
+    out.rank = in.rank();
+    out.ranks = in.ranks();
+    out.open = in.open();
+    out.step = in.step();
+    out.orders = in.orders();
+    out.start = in.start();
+    out.active = in.active();
+    out.queued = in.queued();
+    out.pace = in.pace();
+    out.map_version = in.map_version();
+    out.prepared_version = in.prepared_version();
+    out.armed_version = in.armed_version();
+    out.armed_step = in.armed_step();
+    if (in.has_held_step())
+        out.held_step = in.held_step();
+    return out;
+}
+
+wire::rank_order to_wire(rank_order const& order)
+{
+    wire::rank_order out;
+    out.set_rank(order.rank);
+    out.set_operation(std::string{name_of(order.operation)});
+    out.set_version(order.version);
+    out.set_step(order.step);
+    out.set_epoch(order.epoch);
+    out.set_fence(order.fence);
+    out.set_expected_orders(order.expected_orders);
+    out.set_sets(static_cast<std::uint32_t>(order.mapping.size()));
+    for (rank_experts const& set : order.mapping)
+    {
+        for (std::vector<std::uint16_t> const& experts : set)
+            fill(experts, *out.add_mapping());
+    }
+    return out;
+}
+
+rank_order from_wire(wire::rank_order const& in)
+{
+    rank_order out;
+    out.rank = in.rank();
+    out.operation = enum_from_name<rank_operation>(in.operation())
+                        .value_or(rank_operation::release);
+    out.version = in.version();
+    out.step = in.step();
+    out.epoch = in.epoch();
+    out.fence = in.fence();
+    out.expected_orders = in.expected_orders();
+    if (in.sets() == 0)
+        return out;
+    int const ranks = in.mapping_size() / static_cast<int>(in.sets());
+    for (int n = 0; n < in.mapping_size(); ++n)
+    {
+        if (n % ranks == 0)
+            out.mapping.emplace_back();
+        out.mapping.back().push_back(narrow(in.mapping(n).experts()));
+    }
+    return out;
+}
+
+void add_experts(rank_experts const& experts, wire::rank_report& out)
+{
+    for (std::vector<std::uint16_t> const& set : experts)
+        fill(set, *out.add_in_force());
+}
+
+std::optional<rank_experts> experts_of(wire::rank_report const& in)
+{
+    if (in.in_force_size() == 0)
+        return std::nullopt;
+    rank_experts out;
+    for (wire::expert_set const& set : in.in_force())
+        out.push_back(narrow(set.experts()));
+    return out;
+}
+
+} // namespace hornbeamweir
--- a/src/replicas/replica_directory.cpp
+++ b/src/replicas/replica_directory.cpp
@@ -44,6 +44,17 @@
     return out;
 }
 
+replica const*
+replica_directory::find_by_address(std::string const& address) const
+{
+    for (auto const& [id, it] : known_)
+    {
+        if (it.address == address)
+            return &it;
+    }
+    return nullptr;
+}
+
 replica const* replica_directory::find(backend_server_id const& id) const
 {
     auto const it = known_.find(id);
--- a/src/settings/relay_settings.cpp
+++ b/src/settings/relay_settings.cpp
@@ -39,6 +39,7 @@
 {
     in.id("name", out.name, presence::required);
     in.id("data_centre", out.data_centre, presence::required);
+    in.text("service", out.service, presence::required);
     in.address("rank_address", out.rank_address, presence::required);
     in.address("peers_address", out.peers_address, presence::required);
     in.address("metrics_address", out.metrics_address, presence::required);
