Plan maps for the demand since it last changed, with few copies first

Ruled out: noise between passes (skew 1.1 to 1.4 in bins of one demand).

Change: demand is taken from bins up to the last change; fewer copies are preferred by the time that they take; orders are sent as reports arrive, and the switch is two passes ahead.

--- a/include/hornbeamweir/expert_map/map_planner.hpp
+++ b/include/hornbeamweir/expert_map/map_planner.hpp
@@ -35,7 +35,11 @@
         group_experts const& current,
         engine_profile const& engine,
         std::vector<double> const& paces,
-        time_point now);
+        time_point now) const;
+
+    /// \brief Whether the demand has changed a moment ago, so that a map that
+    /// is being copied was planned for another one.
+    [[nodiscard]] bool demand_changed(std::size_t size, time_point now) const;
 
 private:
     struct sample
@@ -51,8 +55,24 @@
         std::deque<sample> samples;
     };
 
-    [[nodiscard]] std::vector<double>
-    recent_choices(std::size_t size, time_point now) const;
+    struct demand
+    {
+        std::vector<double> choices;
+        /// Whether older choices were left out, as they differ.
+        bool changed = false;
+        /// Whether the choices are recent enough and many enough to act on.
+        bool settled = false;
+    };
+
+    [[nodiscard]] std::vector<std::vector<double>>
+    binned_choices(std::size_t size, time_point now) const;
+    [[nodiscard]] demand recent_demand(std::size_t size, time_point now) const;
+    [[nodiscard]] static std::optional<planned_map> balance(
+        group_experts const& current,
+        engine_profile const& engine,
+        std::vector<double> const& choices,
+        std::vector<double> const& paces,
+        std::uint32_t fresh);
 
     std::map<std::uint32_t, rank_samples> ranks_;
 };
--- a/src/daemon/group_coordination.cpp
+++ b/src/daemon/group_coordination.cpp
@@ -13,7 +13,7 @@
 constexpr duration profile_retry = milliseconds{500};
 /// Demand changes every few seconds, and a decision costs milliseconds of
 /// processor time.
-constexpr duration plan_interval = milliseconds{250};
+constexpr duration plan_interval = milliseconds{100};
 /// Age of a report from which a rank is asked without its agent.
 constexpr duration silence = milliseconds{350};
 
@@ -73,6 +73,21 @@
     }
     if (report.fenced() && coordinator_.leading())
         leadership_.resign();
+    // A switch takes several rounds of orders; waiting for ticks would add
+    // passes to it.
+    if (coordinator_.leading())
+        send_due(now);
+}
+
+void group_coordination::send_due(time_point now)
+{
+    for (rank_order const& order : coordinator_.on_tick(now))
+    {
+        metrics_.count(
+            "hornbeamweir_rank_orders_total",
+            {{"operation", std::string{name_of(order.operation)}}});
+        send_(order);
+    }
 }
 
 void group_coordination::follow_duty()
@@ -101,13 +116,7 @@
         read_profile();
     if (now - planned_ >= plan_interval && coordinator_.ready_for_map(now))
         plan(now);
-    for (rank_order const& order : coordinator_.on_tick(now))
-    {
-        metrics_.count(
-            "hornbeamweir_rank_orders_total",
-            {{"operation", std::string{name_of(order.operation)}}});
-        send_(order);
-    }
+    send_due(now);
 }
 
 void group_coordination::read_profile()
--- a/src/daemon/group_coordination.hpp
+++ b/src/daemon/group_coordination.hpp
@@ -60,6 +60,7 @@
     void follow_duty();
     void read_profile();
     void plan(time_point now);
+    void send_due(time_point now);
 
     platform& platform_;
     relay_codec const& records_;
--- a/src/daemon/rank_agent_daemon.cpp
+++ b/src/daemon/rank_agent_daemon.cpp
@@ -26,7 +26,7 @@
 constexpr duration report_interval = milliseconds{60};
 /// Entries need only whether the rank works and how fast.
 constexpr duration tell_entries_interval = milliseconds{200};
-constexpr duration counts_interval = milliseconds{200};
+constexpr duration counts_interval = milliseconds{100};
 constexpr duration beat_interval = milliseconds{200};
 /// Time for which a coordinator that was heard is reported to.
 constexpr duration beat_validity = milliseconds{1500};
--- a/src/expert_map/hold_phases.cpp
+++ b/src/expert_map/hold_phases.cpp
@@ -18,7 +18,7 @@
 constexpr duration arm_limit = milliseconds{2000};
 /// Passes between the choice of the switch and the switch, for the orders to
 /// arrive before the pass is due.
-constexpr std::uint64_t step_lead = 3;
+constexpr std::uint64_t step_lead = 2;
 /// A hold that nobody wants is released after this time.
 constexpr duration stray_hold = milliseconds{250};
 
--- a/src/expert_map/map_planner.cpp
+++ b/src/expert_map/map_planner.cpp
@@ -1,6 +1,8 @@
 #include <hornbeamweir/expert_map/map_planner.hpp>
 #include <hornbeamweir/placement/rank_balancer.hpp>
 
+#include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace hornbeamweir
@@ -9,14 +11,81 @@
 namespace
 {
 
-/// Demand is taken over this time: it changes every few seconds, and less
-/// would be noise.
-constexpr duration window = std::chrono::milliseconds{800};
+using std::chrono::milliseconds;
+
+/// Demand is taken over this time, as far as it has not changed.
+constexpr duration window = milliseconds{1000};
+constexpr duration bin_width = milliseconds{100};
+/// Difference of two distributions of choices, from 0 to 1, beyond which the
+/// demand has changed. Passes of one demand differ by up to 0.2, since each has
+/// few prompts.
+constexpr double changed_demand = 0.25;
+/// Demand that has changed less long ago than this is still mixed with what
+/// was before, as ranks are asked one after the other.
+constexpr std::size_t least_bins = 2;
 /// Choices in a set without which its shares are noise.
 constexpr double least_choices = 500;
 /// Relative reduction of the time for experts that a map must bring: passes
 /// take 15 % longer while experts are copied.
-constexpr double least_gain = 0.04;
+constexpr double least_gain = 0.06;
+/// Reduction of the skew that each copied expert must bring, on average. A
+/// change of demand brings 0.05 and more; what is left after it 0.003, which
+/// no caller notices.
+constexpr double least_gain_per_move = 0.01;
+/// Time for which a map is worth its gain; by then the next one can be there.
+constexpr double horizon_s = 1.5;
+/// Time for the switch itself: orders, and the wait for the held pass.
+constexpr double switch_s = 0.15;
+
+void add(std::vector<double> const& from, std::vector<double>& to)
+{
+    for (std::size_t n = 0; n < to.size(); ++n)
+        to[n] += from[n];
+}
+
+/// Half the sum of the differences of two distributions.
+double
+difference(std::vector<double> const& lhs, std::vector<double> const& rhs)
+{
+    double const left = std::accumulate(lhs.begin(), lhs.end(), 0.0);
+    double const right = std::accumulate(rhs.begin(), rhs.end(), 0.0);
+    if (left <= 0 || right <= 0)
+        return 0;
+    double out = 0;
+    for (std::size_t n = 0; n < lhs.size(); ++n)
+        out += std::abs(lhs[n] / left - rhs[n] / right);
+    return out / 2;
+}
+
+/// Time that the busiest rank needs to copy its new experts, in seconds.
+double copy_time(
+    group_experts const& from,
+    group_experts const& to,
+    engine_profile const& engine)
+{
+    constexpr double bits = 8;
+    if (engine.link_megabits_per_second <= 0)
+        return 0;
+    std::vector<std::size_t> fresh(from.front().size(), 0);
+    for (std::size_t set = 0; set < from.size(); ++set)
+    {
+        for (std::size_t rank = 0; rank < from[set].size(); ++rank)
+        {
+            for (std::uint16_t const expert : to[set][rank])
+            {
+                bool const held = std::find(
+                                      from[set][rank].begin(),
+                                      from[set][rank].end(),
+                                      expert) != from[set][rank].end();
+                fresh[rank] += held ? 0 : 1;
+            }
+        }
+    }
+    double const most =
+        static_cast<double>(*std::max_element(fresh.begin(), fresh.end()));
+    return most * engine.expert_megabytes * bits /
+           engine.link_megabits_per_second;
+}
 
 } // namespace
 
@@ -31,41 +100,110 @@
         it.samples.pop_front();
 }
 
-std::vector<double>
-map_planner::recent_choices(std::size_t size, time_point now) const
+// Bins are aligned to now, the newest first.
+std::vector<std::vector<double>>
+map_planner::binned_choices(std::size_t size, time_point now) const
 {
-    std::vector<double> out(size, 0.0);
+    std::vector<std::vector<double>> bins(
+        static_cast<std::size_t>(window / bin_width),
+        std::vector<double>(size, 0.0));
     for (auto const& [rank, it] : ranks_)
     {
-        if (it.samples.size() < 2 || now - it.samples.back().at > window)
-            continue;
-        sample const& first = it.samples.front();
-        sample const& last = it.samples.back();
-        if (first.counts.size() != size || last.counts.size() != size)
-            continue;
-        for (std::size_t n = 0; n < size; ++n)
+        for (std::size_t k = 1; k < it.samples.size(); ++k)
         {
-            if (last.counts[n] > first.counts[n])
-                out[n] += static_cast<double>(last.counts[n] - first.counts[n]);
+            sample const& last = it.samples[k];
+            sample const& first = it.samples[k - 1];
+            std::size_t const bin =
+                static_cast<std::size_t>((now - last.at) / bin_width);
+            if (bin >= bins.size() || last.counts.size() != size ||
+                first.counts.size() != size)
+                continue;
+            for (std::size_t n = 0; n < size; ++n)
+            {
+                if (last.counts[n] > first.counts[n])
+                {
+                    bins[bin][n] +=
+                        static_cast<double>(last.counts[n] - first.counts[n]);
+                }
+            }
         }
     }
+    return bins;
+}
+
+// Adds up bins from the newest to the oldest until one differs from them.
+map_planner::demand
+map_planner::recent_demand(std::size_t size, time_point now) const
+{
+    std::vector<std::vector<double>> const bins = binned_choices(size, now);
+    demand out;
+    out.choices.assign(size, 0.0);
+    std::size_t used = 0;
+    for (std::vector<double> const& bin : bins)
+    {
+        bool const differs =
+            used > 0 && difference(out.choices, bin) > changed_demand;
+        if (differs)
+        {
+            out.changed = true;
+            break;
+        }
+        add(bin, out.choices);
+        ++used;
+    }
+    out.settled = used >= least_bins;
     return out;
 }
 
+bool map_planner::demand_changed(std::size_t size, time_point now) const
+{
+    demand const recent = recent_demand(size, now);
+    return recent.changed && recent.settled;
+}
+
 std::optional<planned_map> map_planner::plan(
     group_experts const& current,
     engine_profile const& engine,
     std::vector<double> const& paces,
-    time_point now)
+    time_point now) const
+{
+    demand const recent = recent_demand(current.size() * engine.experts, now);
+    if (!recent.settled)
+        return std::nullopt;
+    std::optional<planned_map> best;
+    double best_value = 0;
+    for (std::uint32_t fresh = 1; fresh <= engine.new_per_map; ++fresh)
+    {
+        std::optional<planned_map> next =
+            balance(current, engine, recent.choices, paces, fresh);
+        if (!next)
+            return std::nullopt;
+        double const gain = next->before - next->after;
+        double const left =
+            horizon_s - switch_s - copy_time(current, next->experts, engine);
+        double const per_move = gain / static_cast<double>(current.size()) /
+                                std::max(1.0, static_cast<double>(next->moves));
+        if (gain < least_gain * next->before ||
+            per_move < least_gain_per_move || gain * left <= best_value)
+            continue;
+        best_value = gain * left;
+        best = std::move(next);
+    }
+    return best;
+}
+
+std::optional<planned_map> map_planner::balance(
+    group_experts const& current,
+    engine_profile const& engine,
+    std::vector<double> const& choices,
+    std::vector<double> const& paces,
+    std::uint32_t fresh)
 {
-    std::size_t const sets = current.size();
-    std::vector<double> const choices =
-        recent_choices(sets * engine.experts, now);
     balance_limits limits;
     limits.slots_per_rank = engine.slots_per_rank;
-    limits.new_per_rank = engine.new_per_map;
+    limits.new_per_rank = fresh;
     planned_map out;
-    for (std::size_t set = 0; set < sets; ++set)
+    for (std::size_t set = 0; set < current.size(); ++set)
     {
         std::span<double const> const shares{
             choices.data() + set * engine.experts, engine.experts};
@@ -79,8 +217,7 @@
         out.moves += balanced.moves;
         out.experts.push_back(std::move(balanced.ranks));
     }
-    bool const worth = out.before - out.after > least_gain * out.before;
-    return worth ? std::optional{std::move(out)} : std::nullopt;
+    return out;
 }
 
 } // namespace hornbeamweir
