Close idle and new connections before an entry leaves

It lingered for 1.2 s after the last answer, and took new connections until then.

Change: 2.5 s after the signal, when the balancer has left, the listener and idle connections are closed, and the entry leaves 0.1 s after its last answer.

--- a/include/hornbeamweir/http/http_server.hpp
+++ b/include/hornbeamweir/http/http_server.hpp
@@ -59,6 +59,9 @@
     /// \brief Closes connections after their next answer, and tells callers so.
     void close_after_answers();
 
+    /// \brief Closes connections on which no request has begun.
+    void close_idle();
+
     /// \brief Accepts no more connections; open ones close after their answer.
     void stop_accepting();
 
--- a/src/daemon/daemon_loop.cpp
+++ b/src/daemon/daemon_loop.cpp
@@ -9,15 +9,13 @@
 {
 
 constexpr std::chrono::milliseconds tick_interval{20};
-/// Ticks without work before a draining daemon stops, so that peers learn of
-/// the drain and the last bytes leave.
-constexpr int idle_ticks_to_stop = 60;
 
 } // namespace
 
-daemon_loop::daemon_loop()
+daemon_loop::daemon_loop(std::chrono::milliseconds linger)
     : timer_{context_}
     , signals_{context_, SIGTERM, SIGINT, SIGHUP}
+    , idle_ticks_to_stop_{static_cast<int>(linger / tick_interval)}
 {
     std::signal(SIGPIPE, SIG_IGN);
 }
@@ -71,7 +69,7 @@
                 return;
             tick_();
             idle_ticks_ = draining_ && idle_() ? idle_ticks_ + 1 : 0;
-            if (idle_ticks_ >= idle_ticks_to_stop)
+            if (idle_ticks_ >= idle_ticks_to_stop_)
                 context_.stop();
             else
                 wait_for_tick();
--- a/src/daemon/daemon_loop.hpp
+++ b/src/daemon/daemon_loop.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <functional>
 
 namespace hornbeamweir
@@ -13,7 +14,10 @@
 class daemon_loop
 {
 public:
-    daemon_loop();
+    /// \param linger Time from idle to the end of a draining daemon, for
+    /// peers to learn of the drain and the last bytes to leave.
+    explicit daemon_loop(
+        std::chrono::milliseconds linger = std::chrono::milliseconds{1200});
 
     [[nodiscard]] boost::asio::io_context& context() noexcept
     {
@@ -48,6 +52,7 @@
     std::function<void()> reload_;
     bool draining_ = false;
     int idle_ticks_ = 0;
+    int idle_ticks_to_stop_;
 };
 
 } // namespace hornbeamweir
--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -30,7 +30,9 @@
 /// connections come for about two seconds after a signal.
 constexpr duration least_drain = std::chrono::milliseconds{2500};
 /// Kept free at the end of the grace period.
-constexpr duration grace_margin = std::chrono::milliseconds{1500};
+constexpr duration grace_margin = std::chrono::milliseconds{400};
+/// For the last answers to leave.
+constexpr std::chrono::milliseconds linger{100};
 /// Descriptors are bounded; each request needs a second one to its replica.
 constexpr std::uint32_t max_callers = 1800;
 
@@ -137,6 +139,8 @@
             reread_at_ = now;
             reload("interval");
         }
+        if (draining_ && !closed_ && now - drained_at_ >= least_drain)
+            close_callers();
         bool const is_ready = ready();
         if (is_ready != was_ready_)
         {
@@ -259,6 +263,17 @@
         log_.info(line);
     }
 
+    // Callers that come now would not be answered before the end.
+    void close_callers()
+    {
+        closed_ = true;
+        callers_.stop_accepting();
+        callers_.close_idle();
+        event line{"callers_closed"};
+        line.with("open_requests", core_.open_requests());
+        log_.info(line);
+    }
+
     [[nodiscard]] bool idle()
     {
         duration const elapsed = suspend_aware_now() - drained_at_;
@@ -294,7 +309,7 @@
     console_log log_;
     metrics_registry metrics_;
     random_source random_;
-    daemon_loop loop_;
+    daemon_loop loop_{linger};
     relay::relay_core core_;
     relay_exchanges exchanges_;
     http_server callers_;
@@ -310,6 +325,7 @@
     time_point drained_at_{};
     bool draining_ = false;
     bool was_ready_ = false;
+    bool closed_ = false;
 };
 
 relay_daemon::relay_daemon(
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -61,6 +61,13 @@
             });
     }
 
+    void close_idle()
+    {
+        std::set<http_session*> const waiting = shared_->waiting;
+        for (http_session* it : waiting)
+            it->close_if_idle();
+    }
+
     void close_after_answers() { shared_->closing = true; }
 
     void set_limits(http_limits const& limits) { shared_->limits = limits; }
@@ -133,6 +140,11 @@
     impl_->close_after_answers();
 }
 
+void http_server::close_idle()
+{
+    impl_->close_idle();
+}
+
 void http_server::set_limits(http_limits const& limits)
 {
     impl_->set_limits(limits);
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -60,6 +60,7 @@
 
 http_session::~http_session()
 {
+    shared_->waiting.erase(this);
     --shared_->open;
 }
 
@@ -87,6 +88,7 @@
 void http_session::read_request()
 {
     phase_ = phase::reading;
+    shared_->waiting.insert(this);
     finished_ = false;
     read_timed_out_ = false;
     written_ = nullptr;
@@ -146,6 +148,7 @@
 
 void http_session::on_request(boost::system::error_code ec)
 {
+    shared_->waiting.erase(this);
     read_timer_.cancel();
     bool const idle =
         !first_request_ && buffer_.size() == 0 && !parser_->is_header_done();
@@ -361,6 +364,16 @@
     close();
 }
 
+// Bytes that have arrived and were not read yet are a request on its way.
+void http_session::close_if_idle()
+{
+    boost::system::error_code ec;
+    bool const arrived =
+        buffer_.size() > 0 || stream_.socket().available(ec) > 0;
+    if (phase_ == phase::reading && !arrived)
+        close();
+}
+
 void http_session::close()
 {
     if (phase_ == phase::closed)
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -11,10 +11,13 @@
 
 #include <deque>
 #include <optional>
+#include <set>
 
 namespace hornbeamweir
 {
 
+class http_session;
+
 /// \brief What all sessions of a server share.
 struct http_session_shared
 {
@@ -22,6 +25,8 @@
     http_handler handler;
     refusal_writer refuse;
     bool closing = false;
+    /// Sessions that wait for a request.
+    std::set<http_session*> waiting;
     std::uint64_t malformed = 0;
     std::uint64_t open = 0;
 };
@@ -38,6 +43,9 @@
 
     void start();
 
+    /// \brief Closes the connection if no byte of a request has arrived.
+    void close_if_idle();
+
     void send_head(unsigned status, header_list const& headers) override;
     void send_data(std::string bytes) override;
     void finish() override;
