Take over a group's coordination sooner, and fence each change by itself

The log shows too that these engines do not count orders for maps, so that the expected number of orders guards nothing, and that accepted copies were ordered again each 70 ms.

Change: lease of 1.6 s renewed each 0.4 s; a whole armed group is let go without knowing its map; experts of silent ranks are read from afar; fences rise with each change; accepted copies are not repeated.

--- a/include/hornbeamweir/expert_map/hold_coordinator.hpp
+++ b/include/hornbeamweir/expert_map/hold_coordinator.hpp
@@ -13,10 +13,11 @@
 /// ranks copy the new map, one holds a pass back, all are armed for that pass,
 /// and it is released.
 /// \remarks Sans-I/O. Orders may be lost or carried out seconds later, so that
-/// each is repeated until the rank's own report shows its effect, and names
-/// the number of orders that the rank must have begun: once a later order has
-/// begun, late copies are refused. Ranks are armed for a pass only while it is
-/// held, and it is released only when all of them are armed or none can be.
+/// each is repeated until the rank's own report shows its effect, and bears
+/// a fence that rises with each change: once a rank has taken an order of a
+/// later change, late copies of earlier ones are refused. Ranks are armed for a
+/// pass only while it is held, and it is released only when all of them are
+/// armed or none can be.
 class hold_coordinator
 {
 public:
@@ -62,6 +63,9 @@
     /// \returns Nothing until all ranks have reported the same version.
     [[nodiscard]] std::optional<group_experts> in_force() const;
 
+    /// \brief Whether the experts that a rank holds are known.
+    [[nodiscard]] bool knows_experts(std::uint32_t rank) const;
+
     /// \brief Starts the change to a map.
     void start(group_experts mapping, time_point now);
 
@@ -108,6 +112,8 @@
     [[nodiscard]] std::set<std::uint32_t> armed_ranks() const;
     [[nodiscard]] bool is_armed(view const& of) const;
 
+    [[nodiscard]] std::uint64_t order_fence() const noexcept;
+
     void enter(phase next, std::string_view reason, time_point now);
     void order(
         std::uint32_t rank,
@@ -139,6 +145,8 @@
     std::uint64_t version_ = 0;
     std::uint64_t step_ = 0;
     std::uint64_t last_version_ = 0;
+    /// Number of changes and clearings of this coordinator.
+    std::uint64_t change_ = 0;
     group_experts mapping_;
     /// Ranks that have begun an order of the phase clearing.
     std::set<std::uint32_t> cleared_;
--- a/include/hornbeamweir/expert_map/rank_state.hpp
+++ b/include/hornbeamweir/expert_map/rank_state.hpp
@@ -39,6 +39,8 @@
     /// Relative time that the rank needs for its work; over 1 is slow.
     double pace = 1;
     std::uint64_t map_version = 0;
+    /// Version that the rank has accepted to copy, as far as its agent knows.
+    std::uint64_t accepted_version = 0;
     /// Version that is copied whole and can be armed; 0 for none.
     std::uint64_t prepared_version = 0;
     /// Version that the rank switches to as a pass begins; 0 for none.
--- a/src/daemon/group_coordination.cpp
+++ b/src/daemon/group_coordination.cpp
@@ -79,8 +79,13 @@
         send_due(now);
 }
 
+// A process that wakes from a suspension finds its lease lapsed here, before
+// it orders anything.
 void group_coordination::send_due(time_point now)
 {
+    follow_duty();
+    if (!coordinator_.leading())
+        return;
     for (rank_order const& order : coordinator_.on_tick(now))
     {
         metrics_.count(
--- a/src/daemon/group_coordination.hpp
+++ b/src/daemon/group_coordination.hpp
@@ -54,6 +54,11 @@
     /// \brief Addresses of ranks whose agents are silent while reports are
     /// needed.
     [[nodiscard]] std::vector<std::string> silent_ranks() const;
+    /// \brief Whether the experts that a rank holds are known.
+    [[nodiscard]] bool knows_experts(std::uint32_t rank) const
+    {
+        return coordinator_.knows_experts(rank);
+    }
     [[nodiscard]] std::string address_of(std::uint32_t rank) const;
 
 private:
--- a/src/daemon/rank_agent_daemon.cpp
+++ b/src/daemon/rank_agent_daemon.cpp
@@ -30,6 +30,8 @@
 constexpr duration beat_interval = milliseconds{200};
 /// Time for which a coordinator that was heard is reported to.
 constexpr duration beat_validity = milliseconds{1500};
+constexpr unsigned ok = 200;
+constexpr unsigned begun = 202;
 constexpr unsigned precondition_failed = 412;
 
 using udp_address = boost::asio::ip::udp::endpoint;
@@ -184,6 +186,7 @@
     [[nodiscard]] wire::rank_report report_of(rank_state const& state) const
     {
         wire::rank_report out = to_wire(state);
+        out.set_accepted_version(accepted_version_);
         out.set_address(settings_.rank_address);
         out.set_service(settings_.service);
         return out;
@@ -270,6 +273,10 @@
             [this, from, order](result<unsigned> const& status)
             {
                 bool const fenced = status && *status == precondition_failed;
+                bool const accepted =
+                    status && (*status == ok || *status == begun);
+                if (accepted && order.operation == rank_operation::prepare)
+                    accepted_version_ = order.version;
                 log_order(order, status);
                 rank_.read_report(
                     settings_.rank_address,
@@ -306,6 +313,27 @@
                 wire::rank_report report = to_wire(*state);
                 report.set_address(address);
                 coordination_.on_report(report);
+                if (!coordination_.knows_experts(state->rank))
+                    read_experts_directly(address, *state);
+            });
+    }
+
+    // Answers from another VM are paid for, and only needed to clear up after
+    // a coordinator whose VM is gone as well.
+    void
+    read_experts_directly(std::string const& address, rank_state const& state)
+    {
+        rank_.read_experts(
+            address,
+            state.rank,
+            [this, address, state](result<rank_experts> const& experts)
+            {
+                if (!experts)
+                    return;
+                wire::rank_report report = to_wire(state);
+                report.set_address(address);
+                add_experts(*experts, report);
+                coordination_.on_report(report);
             });
     }
 
@@ -397,6 +425,7 @@
     std::uint64_t experts_epoch_ = 0;
     std::uint64_t experts_version_ = 0;
     std::optional<choice_counts> counts_;
+    std::uint64_t accepted_version_ = 0;
     std::map<std::string, agent_contact> agents_;
     udp_address coordinator_;
     time_point beat_heard_{};
--- a/src/expert_map/hold_coordinator.cpp
+++ b/src/expert_map/hold_coordinator.cpp
@@ -13,7 +13,7 @@
 /// A report older than this says nothing of a rank.
 constexpr duration report_validity = milliseconds{1200};
 /// Time for orders of an earlier coordinator that are on their way.
-constexpr duration settle_time = milliseconds{400};
+constexpr duration settle_time = milliseconds{150};
 /// Time without effect after which an order is repeated.
 constexpr duration repeat_after = milliseconds{70};
 /// Leaves room for the versions of one coordinator below the next one's.
@@ -26,6 +26,7 @@
 {
     leading_ = true;
     fence_ = fence;
+    change_ = 0;
     home_ = home;
     act_from_ = now + settle_time;
     sent_.clear();
@@ -160,6 +161,14 @@
     return whole ? std::optional{std::move(out)} : std::nullopt;
 }
 
+// Fences of one coordinator rise with its changes, and lie below those of the
+// next coordinator.
+std::uint64_t hold_coordinator::order_fence() const noexcept
+{
+    return fence_ * versions_per_fence +
+           std::min(change_, versions_per_fence - 1);
+}
+
 void hold_coordinator::enter(
     phase next, std::string_view reason, time_point now)
 {
@@ -178,6 +187,8 @@
     sent_.clear();
     cleared_.clear();
     disarming_ = false;
+    if (next == phase::clearing || next == phase::preparing)
+        ++change_;
     if (next == phase::clearing)
         version_ = next_version();
 }
@@ -194,8 +205,7 @@
     auto const last = sent_.find(rank);
     bool const repeated =
         last != sent_.end() && last->second.operation == operation &&
-        last->second.version == version && last->second.step == step &&
-        last->second.expected_orders == of.state.orders;
+        last->second.version == version && last->second.step == step;
     if (repeated && now - last->second.at < repeat_after)
         return;
     sent_[rank] = {operation, version, step, of.state.orders, now};
@@ -205,13 +215,22 @@
     it.version = version;
     it.step = step;
     it.epoch = of.state.epoch;
-    it.fence = fence_;
+    it.fence = order_fence();
     it.expected_orders = of.state.orders;
     if (operation == rank_operation::prepare)
         it.mapping = mapping_;
     out.push_back(std::move(it));
 }
 
+bool hold_coordinator::knows_experts(std::uint32_t rank) const
+{
+    auto const it = views_.find(rank);
+    return it != views_.end() &&
+           it->second.experts_epoch == it->second.state.epoch &&
+           it->second.experts_version == it->second.state.map_version &&
+           !it->second.experts.empty();
+}
+
 void hold_coordinator::start(group_experts mapping, time_point now)
 {
     mapping_ = std::move(mapping);
--- a/src/expert_map/hold_phases.cpp
+++ b/src/expert_map/hold_phases.cpp
@@ -56,10 +56,9 @@
         if (it.state.prepared_version == version_)
             continue;
         all = false;
-        // The rank has begun an order of ours and copies.
         auto const last = sent_.find(rank);
-        bool const copying = last != sent_.end() &&
-                             it.state.orders > last->second.expected_orders &&
+        bool const copying = it.state.accepted_version == version_ &&
+                             last != sent_.end() &&
                              now - last->second.at < copy_patience;
         if (!copying)
             order(rank, rank_operation::prepare, version_, 0, now, out);
@@ -177,8 +176,7 @@
 // refused; only then is a held pass let go.
 void hold_coordinator::run_clearing(time_point now, orders& out)
 {
-    std::optional<group_experts> current = in_force();
-    if (!complete(now) || !current)
+    if (!complete(now))
         return;
     std::set<std::uint32_t> const armed = armed_ranks();
     if (!armed.empty())
@@ -186,6 +184,9 @@
         clear_armed(armed, now, out);
         return;
     }
+    std::optional<group_experts> current = in_force();
+    if (!current)
+        return;
     mapping_ = std::move(*current);
     for (auto const& [rank, it] : views_)
     {
--- a/src/peers/leadership.cpp
+++ b/src/peers/leadership.cpp
@@ -10,15 +10,15 @@
 
 /// A dead leader is replaced after this time; a renewal that is lost must not
 /// end it.
-constexpr duration lease_time = milliseconds{3000};
-constexpr duration keep_interval = milliseconds{800};
+constexpr duration lease_time = milliseconds{1600};
+constexpr duration keep_interval = milliseconds{400};
 /// Taken off the lease's end, for the orders that are on their way.
-constexpr duration validity_margin = milliseconds{400};
+constexpr duration validity_margin = milliseconds{200};
 /// Silence of a leader after which others campaign.
-constexpr duration silence = milliseconds{1200};
-constexpr duration campaign_interval = milliseconds{900};
+constexpr duration silence = milliseconds{700};
+constexpr duration campaign_interval = milliseconds{350};
 /// Spread of campaigns, so that they do not meet.
-constexpr duration campaign_spread = milliseconds{600};
+constexpr duration campaign_spread = milliseconds{400};
 
 } // namespace
 
--- a/src/peers/rank_messages.cpp
+++ b/src/peers/rank_messages.cpp
@@ -39,6 +39,7 @@
     out.set_queued(state.queued);
     out.set_pace(state.pace);
     out.set_map_version(state.map_version);
+    out.set_accepted_version(state.accepted_version);
     out.set_prepared_version(state.prepared_version);
     out.set_armed_version(state.armed_version);
     out.set_armed_step(state.armed_step);
@@ -62,6 +63,7 @@
     out.queued = in.queued();
     out.pace = in.pace();
     out.map_version = in.map_version();
+    out.accepted_version = in.accepted_version();
     out.prepared_version = in.prepared_version();
     out.armed_version = in.armed_version();
     out.armed_step = in.armed_step();
