Hold passes at another rank than the coordinator's, and arm its own last

Change: passes are held at the next rank, by the coordinator itself; its own rank is armed last, so that an unreachable one is known not to be armed while others are not; ordered maps are remembered by all agents. Registrations at one address: the later one counts, 421 is no attempt. Ranks that begin no pass for 0.6 s are told to entries as not open.

Ruled out: a shorter lease alone (takeover 2.3 s, group held 4.1 s).

--- a/include/hornbeamweir/expert_map/hold_coordinator.hpp
+++ b/include/hornbeamweir/expert_map/hold_coordinator.hpp
@@ -44,8 +44,17 @@
 
     /// \brief Begins to coordinate.
     /// \param fence Rises with each coordinator of the group.
-    /// \param home Rank on this VM, at which passes are held.
-    void lead(std::uint64_t fence, std::uint32_t home, time_point now);
+    /// \param home Rank on this VM. It is armed last, and passes are held at
+    /// another one, so that both are known if this VM fails.
+    /// \param previous Rank on the VM of the coordinator before, if known.
+    void lead(
+        std::uint64_t fence,
+        std::uint32_t home,
+        std::optional<std::uint32_t> previous,
+        time_point now);
+
+    /// \brief Notes a map that was ordered, by this or another coordinator.
+    void on_map_ordered(std::uint64_t version, group_experts mapping);
 
     /// \brief Ceases to coordinate; the next coordinator clears up.
     void step_down(time_point now);
@@ -63,6 +72,9 @@
     /// \returns Nothing until all ranks have reported the same version.
     [[nodiscard]] std::optional<group_experts> in_force() const;
 
+    /// \brief Whether every rank of the group has reported.
+    [[nodiscard]] bool heard_all() const;
+
     /// \brief Whether the experts that a rank holds are known.
     [[nodiscard]] bool knows_experts(std::uint32_t rank) const;
 
@@ -106,6 +118,11 @@
     using orders = std::vector<rank_order>;
 
     [[nodiscard]] bool complete(time_point now) const;
+    [[nodiscard]] bool
+    complete_but_for(std::optional<std::uint32_t> absent, time_point now) const;
+    [[nodiscard]] std::optional<std::uint32_t>
+    absent_rank(time_point now) const;
+    [[nodiscard]] std::uint32_t hold_rank() const;
     [[nodiscard]] std::uint64_t newest_epoch() const;
     [[nodiscard]] std::uint64_t latest_step() const;
     [[nodiscard]] std::uint64_t next_version();
@@ -130,12 +147,18 @@
     void run_releasing(time_point now, orders& out);
     void run_clearing(time_point now, orders& out);
     void clear_armed(
-        std::set<std::uint32_t> const& armed, time_point now, orders& out);
+        std::set<std::uint32_t> const& armed,
+        bool whole,
+        time_point now,
+        orders& out);
 
     event_log& log_;
     bool leading_ = false;
     std::uint64_t fence_ = 0;
     std::uint32_t home_ = 0;
+    std::optional<std::uint32_t> previous_home_;
+    /// Maps that were ordered lately, by version.
+    std::map<std::uint64_t, group_experts> ordered_maps_;
     std::map<std::uint32_t, view> views_;
     std::map<std::uint32_t, sent_order> sent_;
     phase phase_ = phase::idle;
--- a/include/hornbeamweir/replicas/replica.hpp
+++ b/include/hornbeamweir/replicas/replica.hpp
@@ -20,6 +20,9 @@
     data_centre_id data_centre;
     /// Requests that it executes at once.
     std::uint32_t slots = 1;
+    /// Revision at which it registered; of two at one address, the later one
+    /// is there.
+    std::int64_t registered = 0;
     /// Whether it has announced that it leaves.
     bool draining = false;
 
--- a/include/hornbeamweir/replicas/replica_directory.hpp
+++ b/include/hornbeamweir/replicas/replica_directory.hpp
@@ -31,7 +31,11 @@
     [[nodiscard]] std::vector<change>
     take(std::map<backend_server_id, replica> snapshot, time_point now);
 
-    /// \brief Returns the replicas of a service that are not leaving.
+    /// \brief Notes that another replica answered at a replica's address.
+    void on_misdirected(backend_server_id const& id, time_point now);
+
+    /// \brief Returns the replicas of a service that are not leaving, and that
+    /// no later one has replaced at their address.
     [[nodiscard]] std::vector<replica const*>
     usable(service_name const& service) const;
 
@@ -44,7 +48,11 @@
     [[nodiscard]] std::size_t size() const noexcept { return known_.size(); }
 
 private:
+    [[nodiscard]] bool is_replaced(replica const& it) const;
+
     std::map<backend_server_id, replica> known_;
+    /// Replicas that were not found at their address.
+    std::map<backend_server_id, time_point> absent_;
     time_point last_read_{};
     time_point keep_until_{};
     bool has_read_ = false;
--- a/src/daemon/group_coordination.cpp
+++ b/src/daemon/group_coordination.cpp
@@ -1,5 +1,7 @@
 #include "group_coordination.hpp"
 
+#include <algorithm>
+
 namespace hornbeamweir
 {
 
@@ -51,8 +53,10 @@
 
 void group_coordination::on_beat(wire::coordinator_beat const& beat)
 {
-    if (beat.group() == group_.str())
-        leadership_.on_heard_leader();
+    if (beat.group() != group_.str())
+        return;
+    leadership_.on_heard_leader();
+    previous_rank_ = beat.rank();
 }
 
 void group_coordination::on_report(wire::rank_report const& report)
@@ -102,8 +106,9 @@
     if (holds && !coordinator_.leading())
     {
         addresses_.clear();
-        coordinator_.lead(leadership_.fence(), rank_, now);
+        coordinator_.lead(leadership_.fence(), rank_, previous_rank_, now);
         read_profile();
+        read_replicas();
     }
     else if (!holds && coordinator_.leading())
         coordinator_.step_down(now);
@@ -146,6 +151,27 @@
         });
 }
 
+// Ranks whose agents went silent before this process took the duty have never
+// reported here.
+void group_coordination::read_replicas()
+{
+    platform_.read_prefix(
+        records_.replica_prefix(),
+        [this, weak = std::weak_ptr{alive_}](result<range_reply> const& reply)
+        {
+            if (weak.expired() || !reply)
+                return;
+            registered_.clear();
+            for (auto const& [key, stored] : reply->values)
+            {
+                result<replica> const it =
+                    records_.decode_replica(key, stored.value);
+                if (it && it->service == service_)
+                    registered_.push_back(it->address);
+            }
+        });
+}
+
 void group_coordination::plan(time_point now)
 {
     planned_ = now;
@@ -178,6 +204,18 @@
         if (!address.empty())
             out.push_back(std::move(address));
     }
+    if (coordinator_.at() != hold_coordinator::phase::clearing ||
+        coordinator_.heard_all())
+        return out;
+    for (std::string const& address : registered_)
+    {
+        bool const heard = std::any_of(
+            addresses_.begin(),
+            addresses_.end(),
+            [&](auto const& it) { return it.second == address; });
+        if (!heard)
+            out.push_back(address);
+    }
     return out;
 }
 
--- a/src/daemon/group_coordination.hpp
+++ b/src/daemon/group_coordination.hpp
@@ -43,6 +43,12 @@
     void on_tick();
 
     [[nodiscard]] bool leading() const { return coordinator_.leading(); }
+    [[nodiscard]] std::uint32_t rank() const noexcept { return rank_; }
+    /// \brief Notes a map that another coordinator has ordered.
+    void on_map_ordered(std::uint64_t version, group_experts mapping)
+    {
+        coordinator_.on_map_ordered(version, std::move(mapping));
+    }
     [[nodiscard]] std::uint64_t fence() const noexcept
     {
         return leadership_.fence();
@@ -64,6 +70,7 @@
 private:
     void follow_duty();
     void read_profile();
+    void read_replicas();
     void plan(time_point now);
     void send_due(time_point now);
 
@@ -79,7 +86,11 @@
     model_group_id group_;
     service_name service_;
     std::uint32_t rank_ = 0;
+    /// Rank beside the last coordinator that was heard.
+    std::optional<std::uint32_t> previous_rank_;
     std::map<std::uint32_t, std::string> addresses_;
+    /// Addresses at which replicas of the service are registered.
+    std::vector<std::string> registered_;
     std::map<std::uint32_t, double> paces_;
     std::optional<engine_profile> engine_;
     time_point profile_read_{};
--- a/src/daemon/rank_agent_daemon.cpp
+++ b/src/daemon/rank_agent_daemon.cpp
@@ -30,6 +30,8 @@
 constexpr duration beat_interval = milliseconds{200};
 /// Time for which a coordinator that was heard is reported to.
 constexpr duration beat_validity = milliseconds{1500};
+/// The longest pass of a working group takes some hundred milliseconds.
+constexpr duration stall_limit = milliseconds{600};
 constexpr unsigned ok = 200;
 constexpr unsigned begun = 202;
 constexpr unsigned precondition_failed = 412;
@@ -147,9 +149,29 @@
                                    experts_version_ == state->map_version;
         if (!experts_known && !reading_experts_)
             read_experts();
+        note_step(*state);
         tell(*state);
     }
 
+    /// A rank with work that begins no pass can serve nobody for the moment.
+    void note_step(rank_state const& state)
+    {
+        time_point const now = suspend_aware_now();
+        if (state.step != last_step_ || state.active + state.queued == 0)
+            stepped_at_ = now;
+        last_step_ = state.step;
+        bool const stalled = now - stepped_at_ > stall_limit;
+        if (stalled != stalled_)
+        {
+            event line{stalled ? "rank_stalled" : "rank_resumed"};
+            line.with("step", state.step)
+                .with("active", state.active)
+                .with("queued", state.queued);
+            log_.warning(line);
+        }
+        stalled_ = stalled;
+    }
+
     void read_experts()
     {
         reading_experts_ = true;
@@ -200,6 +222,7 @@
             told_entries_ = now;
             wire::datagram message;
             *message.mutable_report() = report_of(state);
+            message.mutable_report()->set_open(state.open && !stalled_);
             for (auto const& [name, at] :
                  registry_.peers(std::string{entry_role}))
                 link_.send(at, message);
@@ -238,15 +261,24 @@
         wire::datagram message;
         message.mutable_beat()->set_group(coordination_.group().str());
         message.mutable_beat()->set_fence(coordination_.fence());
+        message.mutable_beat()->set_rank(coordination_.rank());
         for (auto const& [name, at] : registry_.peers(std::string{agent_role}))
             link_.send(at, message);
     }
 
     /// Orders go by the agent of a rank, for which they are free, unless it is
-    /// silent.
+    /// silent. Holds and releases go straight to the rank: a VM that fails
+    /// takes neither the held rank nor the coordinator with the other.
     void route_order(rank_order const& order)
     {
         std::string const address = coordination_.address_of(order.rank);
+        bool const straight = order.operation == rank_operation::hold ||
+                              order.operation == rank_operation::release;
+        if (straight && !address.empty() && address != settings_.rank_address)
+        {
+            execute_directly(address, order);
+            return;
+        }
         if (address == settings_.rank_address)
         {
             execute(order, std::nullopt);
@@ -308,6 +340,10 @@
             address,
             [this, address](result<rank_state> const& state)
             {
+                event line{"rank_read_from_afar"};
+                line.with("address", address)
+                    .with("outcome", state ? "ok" : state.error().message);
+                log_.info(line);
                 if (!state)
                     return;
                 wire::rank_report report = to_wire(*state);
@@ -380,7 +416,12 @@
             coordination_.on_report(message.report());
         }
         else if (message.has_order())
-            execute(from_wire(message.order()), from);
+        {
+            rank_order const order = from_wire(message.order());
+            if (order.operation == rank_operation::prepare)
+                coordination_.on_map_ordered(order.version, order.mapping);
+            execute(order, from);
+        }
     }
 
     [[nodiscard]] std::string status() const
@@ -434,6 +475,9 @@
     time_point told_entries_{};
     time_point beat_at_{};
     time_point silent_at_{};
+    std::uint64_t last_step_ = 0;
+    time_point stepped_at_{};
+    bool stalled_ = false;
     bool reading_ = false;
     bool reading_experts_ = false;
 };
--- a/src/expert_map/hold_coordinator.cpp
+++ b/src/expert_map/hold_coordinator.cpp
@@ -22,8 +22,12 @@
 } // namespace
 
 void hold_coordinator::lead(
-    std::uint64_t fence, std::uint32_t home, time_point now)
+    std::uint64_t fence,
+    std::uint32_t home,
+    std::optional<std::uint32_t> previous,
+    time_point now)
 {
+    previous_home_ = previous == home ? std::nullopt : previous;
     leading_ = true;
     fence_ = fence;
     change_ = 0;
@@ -67,21 +71,53 @@
 }
 
 bool hold_coordinator::complete(time_point now) const
+{
+    return complete_but_for(std::nullopt, now);
+}
+
+bool hold_coordinator::complete_but_for(
+    std::optional<std::uint32_t> absent, time_point now) const
 {
     if (views_.empty())
         return false;
     std::uint32_t const ranks = views_.begin()->second.state.ranks;
     std::uint64_t const epoch = newest_epoch();
-    std::size_t usable = 0;
+    std::size_t usable = absent ? 1 : 0;
     for (auto const& [rank, it] : views_)
     {
-        if (rank < ranks && it.state.open && it.state.epoch == epoch &&
-            now - it.at <= report_validity)
+        if (rank < ranks && rank != absent && it.state.open &&
+            it.state.epoch == epoch && now - it.at <= report_validity)
             ++usable;
     }
     return ranks > 0 && usable == ranks;
 }
 
+// The rank beside the coordinator before fails with it.
+std::optional<std::uint32_t> hold_coordinator::absent_rank(time_point now) const
+{
+    if (!previous_home_)
+        return std::nullopt;
+    auto const it = views_.find(*previous_home_);
+    bool const heard =
+        it != views_.end() && now - it->second.at <= report_validity;
+    return heard ? std::nullopt : previous_home_;
+}
+
+std::uint32_t hold_coordinator::hold_rank() const
+{
+    std::uint32_t const ranks = views_.begin()->second.state.ranks;
+    return ranks == 0 ? home_ : (home_ + 1) % ranks;
+}
+
+void hold_coordinator::on_map_ordered(
+    std::uint64_t version, group_experts mapping)
+{
+    constexpr std::size_t most_maps = 8;
+    ordered_maps_.insert_or_assign(version, std::move(mapping));
+    if (ordered_maps_.size() > most_maps)
+        ordered_maps_.erase(ordered_maps_.begin());
+}
+
 std::uint64_t hold_coordinator::newest_epoch() const
 {
     std::uint64_t out = 0;
@@ -138,6 +174,20 @@
 
 std::optional<group_experts> hold_coordinator::in_force() const
 {
+    if (views_.empty())
+        return std::nullopt;
+    auto const ordered =
+        ordered_maps_.find(views_.begin()->second.state.map_version);
+    bool const same_map = std::all_of(
+        views_.begin(),
+        views_.end(),
+        [&](auto const& it)
+        {
+            return it.second.state.map_version ==
+                   views_.begin()->second.state.map_version;
+        });
+    if (same_map && ordered != ordered_maps_.end())
+        return ordered->second;
     group_experts out;
     std::uint64_t const epoch = newest_epoch();
     for (auto const& [rank, it] : views_)
@@ -218,10 +268,19 @@
     it.fence = order_fence();
     it.expected_orders = of.state.orders;
     if (operation == rank_operation::prepare)
+    {
         it.mapping = mapping_;
+        on_map_ordered(version, mapping_);
+    }
     out.push_back(std::move(it));
 }
 
+bool hold_coordinator::heard_all() const
+{
+    return !views_.empty() &&
+           views_.size() == views_.begin()->second.state.ranks;
+}
+
 bool hold_coordinator::knows_experts(std::uint32_t rank) const
 {
     auto const it = views_.find(rank);
--- a/src/expert_map/hold_phases.cpp
+++ b/src/expert_map/hold_phases.cpp
@@ -24,10 +24,10 @@
 
 } // namespace
 
-// A late order of an earlier change can still hold the group.
+// A late order of an earlier change can still hold the group, or arm a rank.
 void hold_coordinator::run_idle(time_point now, orders& /*out*/)
 {
-    bool held = false;
+    bool held = !armed_ranks().empty();
     for (auto const& [rank, it] : views_)
         held = held || it.state.held_step.has_value();
     if (!held)
@@ -40,7 +40,7 @@
     if (now - *held_since_ < stray_hold)
         return;
     held_since_.reset();
-    enter(phase::clearing, "found a pass that is held", now);
+    enter(phase::clearing, "found a pass held or a rank armed", now);
 }
 
 void hold_coordinator::run_preparing(time_point now, orders& out)
@@ -74,8 +74,10 @@
 
 void hold_coordinator::run_holding(time_point now, orders& out)
 {
-    view const& home = views_.at(home_);
-    if (home.state.held_step == step_)
+    auto const holder = views_.find(hold_rank());
+    if (holder == views_.end())
+        return;
+    if (holder->second.state.held_step == step_)
     {
         enter(phase::arming, "the pass is held", now);
         run_arming(now, out);
@@ -89,7 +91,7 @@
     // The pass has begun before the hold arrived.
     if (latest_step() >= step_)
         step_ = latest_step() + step_lead;
-    order(home_, rank_operation::hold, 0, step_, now, out);
+    order(hold_rank(), rank_operation::hold, 0, step_, now, out);
 }
 
 void hold_coordinator::run_arming(time_point now, orders& out)
@@ -134,7 +136,10 @@
 // Ranks are armed only while a pass is held, so that what is armed in part can
 // be taken back. What is armed whole is let go as it is.
 void hold_coordinator::clear_armed(
-    std::set<std::uint32_t> const& armed, time_point now, orders& out)
+    std::set<std::uint32_t> const& armed,
+    bool whole,
+    time_point now,
+    orders& out)
 {
     view const& first = views_.at(*armed.begin());
     bool const same = std::all_of(
@@ -146,7 +151,7 @@
             return it.armed_version == first.state.armed_version &&
                    it.armed_step == first.state.armed_step;
         });
-    if (same && armed.size() == views_.size() && !disarming_)
+    if (same && whole && !disarming_)
     {
         version_ = first.state.armed_version;
         step_ = first.state.armed_step;
@@ -158,7 +163,16 @@
         views_.end(),
         [](auto const& it) { return it.second.state.held_step.has_value(); });
     if (!held)
+    {
+        order(
+            hold_rank(),
+            rank_operation::hold,
+            0,
+            first.state.armed_step,
+            now,
+            out);
         return;
+    }
     disarming_ = true;
     for (std::uint32_t const rank : armed)
     {
@@ -176,12 +190,22 @@
 // refused; only then is a held pass let go.
 void hold_coordinator::run_clearing(time_point now, orders& out)
 {
-    if (!complete(now))
+    // The rank that fails with its coordinator is armed last: while others are
+    // not armed, it is not. Where all others are, nothing is known of it.
+    std::optional<std::uint32_t> const absent = absent_rank(now);
+    if (!complete_but_for(absent, now))
         return;
-    std::set<std::uint32_t> const armed = armed_ranks();
+    std::set<std::uint32_t> armed = armed_ranks();
+    if (absent)
+        armed.erase(*absent);
+    std::size_t const ranks = views_.begin()->second.state.ranks;
+    std::size_t const present = ranks - (absent ? 1 : 0);
     if (!armed.empty())
     {
-        clear_armed(armed, now, out);
+        bool const whole = armed.size() == ranks;
+        if (absent && armed.size() == present && !disarming_)
+            return;
+        clear_armed(armed, whole, now, out);
         return;
     }
     std::optional<group_experts> current = in_force();
@@ -190,12 +214,14 @@
     mapping_ = std::move(*current);
     for (auto const& [rank, it] : views_)
     {
+        if (rank == absent)
+            continue;
         if (it.state.prepared_version == version_)
             cleared_.insert(rank);
         else if (!cleared_.contains(rank))
             order(rank, rank_operation::prepare, version_, 0, now, out);
     }
-    if (cleared_.size() < views_.size())
+    if (cleared_.size() < present)
     {
         constexpr duration version_limit = milliseconds{1500};
         if (now - entered_ > version_limit)
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -9,6 +9,7 @@
 constexpr unsigned first_failure_status = 400;
 constexpr unsigned first_server_failure = 500;
 constexpr unsigned gateway_timeout = 504;
+constexpr unsigned misdirected = 421;
 /// Time below which a further attempt cannot be answered any more.
 constexpr duration least_time_left = std::chrono::milliseconds{100};
 /// Time that a further attempt waits for a replica that can take it.
@@ -46,6 +47,12 @@
         // A replica that blames another one belongs to a broken group.
         if (!answer.at_fault.empty() && answer.at_fault != of.target.str())
             board_.on_rank(of.target, {false, 1, now});
+        // The replica that was meant got nothing, so that this is no attempt.
+        if (answer.status == misdirected)
+        {
+            directory_.on_misdirected(of.target, now);
+            --of.attempts;
+        }
         out.push_back(close_attempt{number});
         end_attempt(of, attempt_outcome::abandoned, now);
         try_again(it, false, found + " without executing", now, out);
--- a/src/replicas/replica_feed.cpp
+++ b/src/replicas/replica_feed.cpp
@@ -82,6 +82,7 @@
         result<replica> decoded = codec_.decode_replica(key, stored.value);
         if (decoded)
         {
+            decoded->registered = stored.create_revision;
             out.emplace(decoded->id, std::move(*decoded));
             continue;
         }
