--- a/include/hornbeamweir/expert_map/hold_coordinator.hpp
+++ b/include/hornbeamweir/expert_map/hold_coordinator.hpp
@@ -46,7 +46,8 @@
     /// \param fence Rises with each coordinator of the group.
     /// \param home Rank on this VM. It is armed last, and passes are held at
     /// another one, so that both are known if this VM fails.
-    /// \param previous Rank on the VM of the coordinator before, if known.
+    /// \param previous Rank on the VM of the coordinator that was the last to
+    /// start a change, if known.
     void lead(
         std::uint64_t fence,
         std::uint32_t home,
--- a/include/hornbeamweir/peers/leadership.hpp
+++ b/include/hornbeamweir/peers/leadership.hpp
@@ -34,6 +34,18 @@
     /// \brief Names the key that stands for the duty.
     void set_key(std::string key);
 
+    /// \brief Writes what later holders are to know of this one.
+    void write_record(std::string record);
+
+    /// \brief Whether the record of this holder has been written.
+    [[nodiscard]] bool recorded() const noexcept { return recorded_; }
+
+    /// \brief Returns the record that was found when the duty was taken.
+    [[nodiscard]] std::string const& previous_record() const noexcept
+    {
+        return previous_record_;
+    }
+
     /// \brief Notes that another process holds the duty.
     void on_heard_leader();
 
@@ -51,7 +63,9 @@
 
 private:
     void campaign();
+    void on_read(result<range_reply> const& reply);
     void on_granted(result<std::int64_t> const& lease, time_point asked);
+    void on_committed(result<transaction_reply> const& reply, time_point asked);
     void keep();
     void wait(duration least);
 
@@ -61,6 +75,10 @@
     random_source random_;
     std::string holder_;
     std::string key_;
+    std::string previous_record_;
+    /// Revision of that record; 0 if there was none.
+    std::int64_t previous_revision_ = 0;
+    bool recorded_ = false;
     std::int64_t lease_ = 0;
     std::uint64_t fence_ = 0;
     time_point valid_until_{};
--- a/src/daemon/group_coordination.cpp
+++ b/src/daemon/group_coordination.cpp
@@ -1,6 +1,7 @@
 #include "group_coordination.hpp"
 
 #include <algorithm>
+#include <charconv>
 
 namespace hornbeamweir
 {
@@ -19,6 +20,16 @@
 /// Age of a report from which a rank is asked without its agent.
 constexpr duration silence = milliseconds{350};
 
+std::optional<std::uint32_t> rank_in(std::string const& record)
+{
+    std::uint32_t out = 0;
+    std::from_chars_result const parsed =
+        std::from_chars(record.data(), record.data() + record.size(), out);
+    if (parsed.ec != std::errc{})
+        return std::nullopt;
+    return out;
+}
+
 } // namespace
 
 group_coordination::group_coordination(
@@ -56,7 +67,6 @@
     if (beat.group() != group_.str())
         return;
     leadership_.on_heard_leader();
-    previous_rank_ = beat.rank();
 }
 
 void group_coordination::on_report(wire::rank_report const& report)
@@ -106,7 +116,11 @@
     if (holds && !coordinator_.leading())
     {
         addresses_.clear();
-        coordinator_.lead(leadership_.fence(), rank_, previous_rank_, now);
+        coordinator_.lead(
+            leadership_.fence(),
+            rank_,
+            rank_in(leadership_.previous_record()),
+            now);
         read_profile();
         read_replicas();
     }
@@ -124,7 +138,12 @@
     duration const due = engine_ ? profile_interval : profile_retry;
     if (now - profile_read_ >= due)
         read_profile();
-    if (now - planned_ >= plan_interval && coordinator_.ready_for_map(now))
+    bool const may_plan =
+        now - planned_ >= plan_interval && coordinator_.ready_for_map(now);
+    // The next coordinator has to know at whose rank a change may have ended.
+    if (may_plan && !leadership_.recorded())
+        leadership_.write_record(std::to_string(rank_));
+    else if (may_plan)
         plan(now);
     send_due(now);
 }
--- a/src/daemon/group_coordination.hpp
+++ b/src/daemon/group_coordination.hpp
@@ -43,7 +43,6 @@
     void on_tick();
 
     [[nodiscard]] bool leading() const { return coordinator_.leading(); }
-    [[nodiscard]] std::uint32_t rank() const noexcept { return rank_; }
     /// \brief Notes a map that another coordinator has ordered.
     void on_map_ordered(std::uint64_t version, group_experts mapping)
     {
@@ -86,8 +85,6 @@
     model_group_id group_;
     service_name service_;
     std::uint32_t rank_ = 0;
-    /// Rank beside the last coordinator that was heard.
-    std::optional<std::uint32_t> previous_rank_;
     std::map<std::uint32_t, std::string> addresses_;
     /// Addresses at which replicas of the service are registered.
     std::vector<std::string> registered_;
--- a/src/daemon/rank_agent_daemon.cpp
+++ b/src/daemon/rank_agent_daemon.cpp
@@ -261,7 +261,6 @@
         wire::datagram message;
         message.mutable_beat()->set_group(coordination_.group().str());
         message.mutable_beat()->set_fence(coordination_.fence());
-        message.mutable_beat()->set_rank(coordination_.rank());
         for (auto const& [name, at] : registry_.peers(std::string{agent_role}))
             link_.send(at, message);
     }
--- a/src/expert_map/hold_coordinator.cpp
+++ b/src/expert_map/hold_coordinator.cpp
@@ -114,8 +114,20 @@
 {
     constexpr std::size_t most_maps = 8;
     ordered_maps_.insert_or_assign(version, std::move(mapping));
-    if (ordered_maps_.size() > most_maps)
-        ordered_maps_.erase(ordered_maps_.begin());
+    // The map in force is often older than many that were given up.
+    auto const oldest = std::find_if(
+        ordered_maps_.begin(),
+        ordered_maps_.end(),
+        [this](auto const& it)
+        {
+            return std::none_of(
+                views_.begin(),
+                views_.end(),
+                [&](auto const& of)
+                { return of.second.state.map_version == it.first; });
+        });
+    if (ordered_maps_.size() > most_maps && oldest != ordered_maps_.end())
+        ordered_maps_.erase(oldest);
 }
 
 std::uint64_t hold_coordinator::newest_epoch() const
--- a/src/expert_map/hold_phases.cpp
+++ b/src/expert_map/hold_phases.cpp
@@ -97,14 +97,24 @@
 void hold_coordinator::run_arming(time_point now, orders& out)
 {
     bool all = true;
+    bool home_armed = true;
     for (auto const& [rank, it] : views_)
     {
-        bool const armed =
-            it.state.armed_version == version_ && it.state.armed_step == step_;
-        if (armed || it.state.map_version == version_)
-            continue;
+        bool const armed = it.state.map_version == version_ ||
+                           (it.state.armed_version == version_ &&
+                            it.state.armed_step == step_);
+        if (rank == home_)
+            home_armed = armed;
+        else if (!armed)
+        {
+            all = false;
+            order(rank, rank_operation::arm, version_, step_, now, out);
+        }
+    }
+    if (all && !home_armed)
+    {
         all = false;
-        order(rank, rank_operation::arm, version_, step_, now, out);
+        order(home_, rank_operation::arm, version_, step_, now, out);
     }
     if (all)
     {
@@ -231,7 +241,7 @@
     bool held = false;
     for (auto const& [rank, it] : views_)
     {
-        if (!it.state.held_step)
+        if (!it.state.held_step || rank == absent)
             continue;
         held = true;
         order(rank, rank_operation::release, 0, *it.state.held_step, now, out);
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -343,7 +343,9 @@
 
 void http_session::on_answer_complete()
 {
-    if (!keep_alive_)
+    // The head may have promised more requests before the server began to
+    // close.
+    if (!keep_alive_ || shared_->closing)
     {
         boost::system::error_code ignored;
         stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
--- a/src/peers/leadership.cpp
+++ b/src/peers/leadership.cpp
@@ -8,6 +8,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr std::string_view holder_part = "/holder";
+constexpr std::string_view record_part = "/last";
 /// A dead leader is replaced after this time; a renewal that is lost must not
 /// end it.
 constexpr duration lease_time = milliseconds{1600};
@@ -86,9 +88,32 @@
         campaign();
 }
 
+// The record outlives the lease; the duty is taken only if the one that was
+// read is still that of the last holder.
 void leadership::campaign()
 {
     busy_ = true;
+    platform_.read_prefix(
+        key_,
+        [this, weak = std::weak_ptr{alive_}](result<range_reply> const& reply)
+        {
+            if (!weak.expired())
+                on_read(reply);
+        });
+}
+
+void leadership::on_read(result<range_reply> const& reply)
+{
+    if (!reply || reply->values.contains(key_ + std::string{holder_part}))
+    {
+        busy_ = false;
+        wait(campaign_interval);
+        return;
+    }
+    auto const last = reply->values.find(key_ + std::string{record_part});
+    bool const found = last != reply->values.end();
+    previous_record_ = found ? last->second.value : std::string{};
+    previous_revision_ = found ? last->second.modify_revision : 0;
     time_point const asked = clock_();
     platform_.grant_lease(
         lease_time,
@@ -109,26 +134,59 @@
         return;
     }
     lease_ = *lease;
+    std::string const holder_key = key_ + std::string{holder_part};
+    std::string const record_key = key_ + std::string{record_part};
     transaction take;
-    take.conditions.push_back({key_, 0});
-    take.writes.push_back({key_, holder_, lease_});
+    take.conditions.push_back({holder_key, 0});
+    take.conditions.push_back({record_key, previous_revision_});
+    take.writes.push_back({holder_key, holder_, lease_});
     platform_.commit(
         std::move(take),
         [this, asked, weak = std::weak_ptr{alive_}](
             result<transaction_reply> const& reply)
+        {
+            if (!weak.expired())
+                on_committed(reply, asked);
+        });
+}
+
+void leadership::on_committed(
+    result<transaction_reply> const& reply, time_point asked)
+{
+    busy_ = false;
+    wait(campaign_interval);
+    if (!reply || !reply->succeeded)
+        return;
+    fence_ = static_cast<std::uint64_t>(reply->revision);
+    recorded_ = false;
+    valid_until_ = asked + lease_time - validity_margin;
+    next_action_ = clock_() + keep_interval;
+    event line{"duty_taken"};
+    line.with("key", key_)
+        .with("fence", fence_)
+        .with("previous", previous_record_);
+    log_.info(line);
+}
+
+void leadership::write_record(std::string record)
+{
+    if (busy_ || recorded_ || !leading())
+        return;
+    busy_ = true;
+    transaction put;
+    put.conditions.push_back(
+        {key_ + std::string{holder_part}, static_cast<std::int64_t>(fence_)});
+    put.writes.push_back(
+        {key_ + std::string{record_part}, std::move(record), 0});
+    platform_.commit(
+        std::move(put),
+        [this,
+         weak = std::weak_ptr{alive_}](result<transaction_reply> const& reply)
         {
             if (weak.expired())
                 return;
             busy_ = false;
-            wait(campaign_interval);
-            if (!reply || !reply->succeeded)
-                return;
-            fence_ = static_cast<std::uint64_t>(reply->revision);
-            valid_until_ = asked + lease_time - validity_margin;
-            next_action_ = clock_() + keep_interval;
-            event line{"duty_taken"};
-            line.with("key", key_).with("fence", fence_);
-            log_.info(line);
+            recorded_ = reply && reply->succeeded;
         });
 }
 
