Count a hold as in force when the rank accepts it; move streams off slow ranks

Change: the rank's answer to a hold or release is taken; streams on a rank with a pace over 2.5 are resumed elsewhere; a rank has as many streams as its passes can take within the target pause (stream_limit).

--- a/include/hornbeamweir/expert_map/hold_coordinator.hpp
+++ b/include/hornbeamweir/expert_map/hold_coordinator.hpp
@@ -66,6 +66,11 @@
         std::optional<rank_experts> experts,
         time_point now);
 
+    /// \brief Notes that a rank has accepted a hold or a release.
+    /// \remarks Reports that are read from afar show it some hundred
+    /// milliseconds later.
+    void on_accepted(rank_order const& order);
+
     /// \brief Whether a new map may be started.
     [[nodiscard]] bool ready_for_map(time_point now) const;
 
--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -156,13 +156,18 @@
         retry_allowance budget;
         /// When any of its replicas last sent part of an answer.
         time_point last_progress{};
+        /// Configuration that the following were taken from.
+        std::shared_ptr<route_table const> table;
+        step_cost cost;
+        /// Streams that a replica may have at once.
+        std::uint32_t stream_limit = 0;
     };
 
     [[nodiscard]] verdict resolve(record& of, time_point now);
     [[nodiscard]] service_state& state_of(service_name const& name);
     [[nodiscard]] std::vector<candidate>
-    candidates_for(record const& of, time_point now) const;
-    [[nodiscard]] step_cost cost_of(service_name const& name) const;
+    candidates_for(record const& of, time_point now);
+    void refresh(service_state& state, service_name const& name) const;
     [[nodiscard]] bool try_send(record_iterator it, time_point now, actions&);
     void enqueue(record_iterator it, time_point now, actions& out);
     void dispatch(service_name const& name, time_point now, actions& out);
@@ -178,6 +183,12 @@
     void give_up(record_iterator it, time_point now, actions& out);
     void check_time(record_iterator it, time_point now, actions& out);
     [[nodiscard]] bool is_stuck(record const& of, time_point now);
+    [[nodiscard]] bool holds_up_group(record const& of, time_point now);
+    void move_attempt(
+        record_iterator it,
+        std::string const& reason,
+        time_point now,
+        actions& out);
     void end_attempt(record& of, attempt_outcome outcome, time_point now);
     void pass_on(record_iterator it, std::string bytes, actions& out);
     void reject(
--- a/include/hornbeamweir/relay/replica_chooser.hpp
+++ b/include/hornbeamweir/relay/replica_chooser.hpp
@@ -16,6 +16,8 @@
     replica const* target = nullptr;
     /// Requests open there, of all entries.
     std::uint32_t in_flight = 0;
+    /// Requests that it may have at once.
+    std::uint32_t limit = 1;
     /// Relative time that it needs for its work; over 1 is slow.
     double pace = 1;
     /// Recent failures: 0 is none, 1 is only failures.
@@ -42,11 +44,13 @@
     }
 
     /// \param near Data centre that is preferred among equals.
+    /// \param beyond Requests that a replica may have beyond its limit.
     /// \returns Nothing if all candidates are full.
     [[nodiscard]] std::optional<std::size_t> choose(
         std::span<candidate const> candidates,
         step_cost const& cost,
-        data_centre_id const& near);
+        data_centre_id const& near,
+        std::uint32_t beyond = 0);
 
 private:
     random_source random_;
--- a/src/daemon/group_coordination.hpp
+++ b/src/daemon/group_coordination.hpp
@@ -43,6 +43,12 @@
     void on_tick();
 
     [[nodiscard]] bool leading() const { return coordinator_.leading(); }
+    /// \brief Notes that a rank has accepted an order that was sent straight.
+    void on_accepted(rank_order const& order)
+    {
+        coordinator_.on_accepted(order);
+        send_due(clock_());
+    }
     /// \brief Notes a map that another coordinator has ordered.
     void on_map_ordered(std::uint64_t version, group_experts mapping)
     {
--- a/src/daemon/rank_agent_daemon.cpp
+++ b/src/daemon/rank_agent_daemon.cpp
@@ -31,7 +31,8 @@
 /// Time for which a coordinator that was heard is reported to.
 constexpr duration beat_validity = milliseconds{1500};
 /// The longest pass of a working group takes some hundred milliseconds.
-constexpr duration stall_limit = milliseconds{600};
+constexpr duration stall_limit = milliseconds{900};
+constexpr duration load_log_interval = std::chrono::seconds{1};
 constexpr unsigned ok = 200;
 constexpr unsigned begun = 202;
 constexpr unsigned precondition_failed = 412;
@@ -160,6 +161,17 @@
         if (state.step != last_step_ || state.active + state.queued == 0)
             stepped_at_ = now;
         last_step_ = state.step;
+        if (now - load_logged_ >= load_log_interval)
+        {
+            load_logged_ = now;
+            event line{"rank_load"};
+            line.with("step", state.step)
+                .with("active", state.active)
+                .with("queued", state.queued)
+                .with("pace", state.pace)
+                .with("version", state.map_version);
+            log_.info(line);
+        }
         bool const stalled = now - stepped_at_ > stall_limit;
         if (stalled != stalled_)
         {
@@ -329,7 +341,12 @@
             [this, address, order](result<unsigned> const& status)
             {
                 log_order(order, status);
-                read_directly(address);
+                bool const accepted =
+                    status && (*status == ok || *status == begun);
+                if (accepted)
+                    coordination_.on_accepted(order);
+                else
+                    read_directly(address);
             });
     }
 
@@ -476,6 +493,7 @@
     time_point silent_at_{};
     std::uint64_t last_step_ = 0;
     time_point stepped_at_{};
+    time_point load_logged_{};
     bool stalled_ = false;
     bool reading_ = false;
     bool reading_experts_ = false;
--- a/src/expert_map/hold_coordinator.cpp
+++ b/src/expert_map/hold_coordinator.cpp
@@ -13,7 +13,7 @@
 /// A report older than this says nothing of a rank.
 constexpr duration report_validity = milliseconds{1200};
 /// Time for orders of an earlier coordinator that are on their way.
-constexpr duration settle_time = milliseconds{150};
+constexpr duration settle_time = milliseconds{250};
 /// Time without effect after which an order is repeated.
 constexpr duration repeat_after = milliseconds{70};
 /// Leaves room for the versions of one coordinator below the next one's.
@@ -70,6 +70,20 @@
     }
 }
 
+void hold_coordinator::on_accepted(rank_order const& order)
+{
+    auto const it = views_.find(order.rank);
+    if (it == views_.end() || it->second.state.epoch != order.epoch)
+        return;
+    rank_state& state = it->second.state;
+    if (order.operation == rank_operation::hold)
+        state.held_step = order.step;
+    else if (
+        order.operation == rank_operation::release &&
+        state.held_step == order.step)
+        state.held_step.reset();
+}
+
 bool hold_coordinator::complete(time_point now) const
 {
     return complete_but_for(std::nullopt, now);
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -1,5 +1,7 @@
 #include <hornbeamweir/relay/relay_core.hpp>
 
+#include <algorithm>
+
 namespace hornbeamweir::relay
 {
 
@@ -22,6 +24,9 @@
 constexpr duration stuck_pause = std::chrono::milliseconds{900};
 /// A replica's last answer that shows that its service works.
 constexpr duration recent = std::chrono::milliseconds{250};
+/// Relative time of a rank from which its streams are moved: with less, its
+/// group's passes stay within the pause that callers accept.
+constexpr double slow_pace = 2.5;
 
 } // namespace
 
@@ -294,18 +299,48 @@
         }
         return;
     }
-    if (is_stuck(of, now) && may_repeat(of, true, now))
+    bool const stuck = is_stuck(of, now);
+    bool const moves = stuck || holds_up_group(of, now);
+    if (moves && may_repeat(of, true, now))
     {
-        out.push_back(close_attempt{it->first});
-        end_attempt(of, attempt_outcome::failed, now);
-        of.may_have_run = true;
-        of.last_failure = "no answer while other replicas answer";
-        of.pending_head.reset();
-        of.events.discard_tail();
-        of.at = phase::between_attempts;
-        of.failed_at = now;
-        static_cast<void>(try_send(it, now, out));
+        move_attempt(
+            it,
+            stuck ? "no answer while other replicas answer"
+                  : "the replica holds up its group",
+            now,
+            out);
     }
 }
 
+// Every pass of a group waits for its slowest rank, so that the streams there
+// are late, and those of all other ranks with them.
+bool relay_core::holds_up_group(record const& of, time_point now)
+{
+    if (of.rule.repeats != repeat_class::resumable_stream)
+        return false;
+    if (board_.rank(of.target, now).pace < slow_pace)
+        return false;
+    std::vector<candidate> const others = candidates_for(of, now);
+    return std::any_of(
+        others.begin(),
+        others.end(),
+        [](candidate const& it)
+        { return it.pace < slow_pace && it.in_flight <= it.limit; });
+}
+
+void relay_core::move_attempt(
+    record_iterator it, std::string const& reason, time_point now, actions& out)
+{
+    record& of = it->second;
+    out.push_back(close_attempt{it->first});
+    end_attempt(of, attempt_outcome::failed, now);
+    of.may_have_run = true;
+    of.last_failure = reason;
+    of.pending_head.reset();
+    of.events.discard_tail();
+    of.at = phase::between_attempts;
+    of.failed_at = now;
+    static_cast<void>(try_send(it, now, out));
+}
+
 } // namespace hornbeamweir::relay
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -67,17 +67,20 @@
 
 relay_core::service_state& relay_core::state_of(service_name const& name)
 {
-    auto const it = services_.find(name);
-    if (it != services_.end())
-        return it->second;
-    return services_
-        .emplace(
-            name,
-            service_state{
-                fair_queue{random_source{random_.next()}},
-                retry_allowance{settings_.retries},
-                {}})
-        .first->second;
+    auto it = services_.find(name);
+    if (it == services_.end())
+    {
+        service_state fresh{
+            fair_queue{random_source{random_.next()}},
+            retry_allowance{settings_.retries},
+            {},
+            nullptr,
+            {},
+            0};
+        it = services_.emplace(name, std::move(fresh)).first;
+    }
+    refresh(it->second, name);
+    return it->second;
 }
 
 actions relay_core::on_request(
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -1,6 +1,8 @@
 #include <hornbeamweir/relay/relay_core.hpp>
+#include <hornbeamweir/relay/stream_limit.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace hornbeamweir::relay
 {
@@ -14,6 +16,8 @@
 /// Callers with less time than this part of the route's timeout have spent the
 /// rest on an earlier try.
 constexpr double returning_part = 0.95;
+/// Further attempts that may wait at a replica whose slots are taken.
+constexpr std::uint32_t repeats_beyond_slots = 2;
 
 duration scaled(duration of, double by)
 {
@@ -24,9 +28,10 @@
 } // namespace
 
 std::vector<candidate>
-relay_core::candidates_for(record const& of, time_point now) const
+relay_core::candidates_for(record const& of, time_point now)
 {
     std::vector<candidate> out;
+    std::uint32_t const limit = state_of(of.service).stream_limit;
     for (replica const* it : directory_.usable(of.service))
     {
         rank_condition const condition = board_.rank(it->id, now);
@@ -35,19 +40,39 @@
         out.push_back(
             {it,
              board_.in_flight(it->id, now),
+             std::min(it->slots, limit),
              condition.pace,
              failures_.score_of(it->id, now)});
     }
     return out;
 }
 
-step_cost relay_core::cost_of(service_name const& name) const
+// Costs and limits follow the configuration, which is newer now and then.
+void relay_core::refresh(service_state& state, service_name const& name) const
 {
+    if (state.table == book_.table())
+        return;
+    state.table = book_.table();
+    state.cost = {};
+    state.stream_limit = std::numeric_limits<std::uint32_t>::max();
     service_profile const* const profile =
-        book_.table() ? book_.table()->find_service(name) : nullptr;
+        state.table ? state.table->find_service(name) : nullptr;
     if (!profile || !profile->engine)
-        return {};
-    return {profile->engine->step, profile->engine->per_sequence};
+        return;
+    state.cost = {profile->engine->step, profile->engine->per_sequence};
+    for (route const& it : state.table->configuration().routes)
+    {
+        bool const leads_there = std::any_of(
+            it.shares.begin(),
+            it.shares.end(),
+            [&](route_share const& share) { return share.service == name; });
+        if (leads_there && it.streaming)
+        {
+            state.stream_limit = std::min(
+                state.stream_limit,
+                stream_limit(*profile->engine, it.target_gap));
+        }
+    }
 }
 
 // A request that can still be on time waits as long as that holds; one that
@@ -103,7 +128,8 @@
         record probe;
         probe.service = name;
         std::vector<candidate> const candidates = candidates_for(probe, now);
-        if (!chooser_.choose(candidates, cost_of(name), settings_.data_centre))
+        if (!chooser_.choose(
+                candidates, state->second.cost, settings_.data_centre))
             return;
         std::optional<queued_request> const next =
             state->second.waiting.pop(now);
@@ -156,8 +182,10 @@
 {
     record& of = it->second;
     std::vector<candidate> const candidates = candidates_for(of, now);
-    std::optional<std::size_t> const chosen =
-        chooser_.choose(candidates, cost_of(of.service), settings_.data_centre);
+    // A stream that has begun goes before requests that have not.
+    std::uint32_t const beyond = of.attempt > 0 ? repeats_beyond_slots : 0;
+    std::optional<std::size_t> const chosen = chooser_.choose(
+        candidates, state_of(of.service).cost, settings_.data_centre, beyond);
     if (!chosen)
         return false;
     replica const& target = *candidates[*chosen].target;
--- a/src/relay/replica_chooser.cpp
+++ b/src/relay/replica_chooser.cpp
@@ -21,7 +21,8 @@
 std::optional<std::size_t> replica_chooser::choose(
     std::span<candidate const> candidates,
     step_cost const& cost,
-    data_centre_id const& near)
+    data_centre_id const& near,
+    std::uint32_t beyond)
 {
     std::optional<std::size_t> best;
     double best_cost = 0;
@@ -30,7 +31,7 @@
     for (std::size_t n = 0; n < candidates.size(); ++n)
     {
         candidate const& it = candidates[n];
-        if (it.in_flight >= it.target->slots)
+        if (it.in_flight >= it.limit + beyond)
             continue;
         double const base = step + each * (it.in_flight + 1);
         double value = base * it.pace * (1 + failure_weight * it.failures);
--- a/src/replicas/replica_feed.cpp
+++ b/src/replicas/replica_feed.cpp
@@ -7,7 +7,7 @@
 {
 
 /// A leaving replica may get new work for 2 s after it has said so.
-constexpr duration read_interval = std::chrono::milliseconds{600};
+constexpr duration read_interval = std::chrono::milliseconds{900};
 constexpr duration retry_delay = std::chrono::milliseconds{200};
 
 } // namespace
--- a/src/routes/route_feed.cpp
+++ b/src/routes/route_feed.cpp
@@ -8,7 +8,7 @@
 
 /// Time that one call waits for changes. Each answer renews the proof that the
 /// configuration is the newest, and each call is paid for.
-constexpr duration poll_wait = std::chrono::milliseconds{1500};
+constexpr duration poll_wait = std::chrono::milliseconds{2000};
 constexpr duration retry_delay = std::chrono::milliseconds{150};
 
 } // namespace
