--- a/src/daemon/rank_agent_daemon.cpp
+++ b/src/daemon/rank_agent_daemon.cpp
@@ -24,6 +24,8 @@
 constexpr std::string_view entry_role = "entry";
 /// A pass takes 40 to 100 ms; more reports tell nothing new.
 constexpr duration report_interval = milliseconds{60};
+/// A change of map waits for each rank's next report.
+constexpr duration change_report_interval = milliseconds{20};
 /// Entries need only whether the rank works and how fast.
 constexpr duration tell_entries_interval = milliseconds{200};
 constexpr duration counts_interval = milliseconds{100};
@@ -89,7 +91,9 @@
     void tick()
     {
         time_point const now = suspend_aware_now();
-        if (now - report_at_ >= report_interval && !reading_)
+        duration const interval =
+            changes_map() ? change_report_interval : report_interval;
+        if (now - report_at_ >= interval && !reading_)
             read_report(now);
         if (now - counts_at_ >= counts_interval && reports_to(now))
             read_counts(now);
@@ -102,6 +106,14 @@
             read_silent(now);
     }
 
+    /// Whether the rank is in the middle of a change of map.
+    [[nodiscard]] bool changes_map() const
+    {
+        return known_ && (known_->armed_version > known_->map_version ||
+                          known_->held_step ||
+                          known_->prepared_version < accepted_version_);
+    }
+
     /// Whether a coordinator, here or elsewhere, wants reports.
     [[nodiscard]] bool reports_to(time_point now) const
     {
