Test routes, relay, directory, balancing, planning and the adapter's codecs

Cause: what the users' platform asked of the product had a property test for the switch of maps only.

Change: table tests of each slice and of the adapter; the load patterns that the policies answer are replayed in virtual time (three times the capacity, a demand that changes at once, a slow rank, sliding windows of the budget).

--- /dev/null
+++ b/test/expert_map/map_planner_test.cpp
@@ -0,0 +1,205 @@
+#include <hornbeamweir/expert_map/map_planner.hpp>
+#include <hornbeamweir/placement/rank_balancer.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <numeric>
+#include <set>
+
+using namespace hornbeamweir;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr std::uint32_t ranks = 12;
+constexpr std::uint32_t experts = 72;
+
+std::vector<std::vector<std::uint16_t>> experts_in_turn()
+{
+    std::vector<std::vector<std::uint16_t>> out(ranks);
+    for (std::uint16_t n = 0; n < experts; ++n)
+        out[n % ranks].push_back(n);
+    return out;
+}
+
+balance_limits limits()
+{
+    balance_limits out;
+    out.slots_per_rank = 8;
+    out.new_per_rank = 3;
+    return out;
+}
+
+engine_profile engine()
+{
+    engine_profile out;
+    out.expert_sets = 1;
+    out.experts = experts;
+    out.slots_per_rank = 8;
+    out.new_per_map = 3;
+    out.expert_megabytes = 2200;
+    out.link_megabits_per_second = 180'000;
+    return out;
+}
+
+/// Shares of 1/(n + 1) of the experts from one on.
+std::vector<double> skewed_shares(std::size_t first)
+{
+    std::vector<double> out(experts);
+    for (std::size_t n = 0; n < experts; ++n)
+        out[(first + 7 * n) % experts] = 1.0 / static_cast<double>(n + 1);
+    return out;
+}
+
+/// Feeds a planner with the counts of all ranks, each 100 ms.
+struct demand_feed
+{
+    void run(std::size_t first, int intervals)
+    {
+        std::vector<double> const shares = skewed_shares(first);
+        for (int k = 0; k < intervals; ++k)
+        {
+            now += milliseconds{100};
+            for (std::size_t n = 0; n < experts; ++n)
+                counts.counts[n] +=
+                    static_cast<std::uint64_t>(1000 * shares[n]);
+            for (std::uint32_t rank = 0; rank < ranks; ++rank)
+                planner.on_counts(rank, counts, now);
+        }
+    }
+
+    map_planner planner;
+    choice_counts counts{1, 1, std::vector<std::uint64_t>(experts, 0)};
+    time_point now{std::chrono::seconds{100}};
+};
+
+} // namespace
+
+TEST_CASE("one map brings a skewed demand near balance", "[balance]")
+{
+    std::vector<double> const shares = skewed_shares(5);
+    std::vector<double> const paces(ranks, 1.0);
+    balanced_set const out =
+        balance_ranks(experts_in_turn(), shares, paces, limits());
+    CHECK(out.before > 2);
+    CHECK(out.after < 1.25);
+    CHECK(out.most_moves <= 3);
+}
+
+TEST_CASE("a slow rank is relieved of its experts", "[balance]")
+{
+    std::vector<double> const shares(experts, 1.0);
+    std::vector<double> paces(ranks, 1.0);
+    paces[4] = 12;
+    balanced_set const out =
+        balance_ranks(experts_in_turn(), shares, paces, limits());
+    CHECK(out.ranks[4].size() < 6);
+    CHECK(out.after < out.before / 2);
+}
+
+TEST_CASE("placements stay within the engines' limits", "[balance]")
+{
+    rc::prop(
+        "each expert is held, and no rank takes too many",
+        []
+        {
+            std::vector<double> shares(experts);
+            for (double& it : shares)
+                it = 0.001 + *rc::gen::inRange(0, 1000);
+            std::vector<double> paces(ranks, 1.0);
+            paces[*rc::gen::inRange<std::size_t>(0, ranks)] =
+                *rc::gen::inRange(1, 12);
+            balance_limits bound = limits();
+            bound.new_per_rank = *rc::gen::inRange(1U, 4U);
+            std::vector<std::vector<std::uint16_t>> current =
+                experts_in_turn();
+            for (int round = 0; round < 3; ++round)
+            {
+                balanced_set const out =
+                    balance_ranks(current, shares, paces, bound);
+                std::set<std::uint16_t> held;
+                for (std::size_t rank = 0; rank < ranks; ++rank)
+                {
+                    std::set<std::uint16_t> const own(
+                        out.ranks[rank].begin(), out.ranks[rank].end());
+                    RC_ASSERT(own.size() == out.ranks[rank].size());
+                    RC_ASSERT(own.size() <= bound.slots_per_rank);
+                    std::size_t const fresh = static_cast<std::size_t>(
+                        std::count_if(
+                            own.begin(),
+                            own.end(),
+                            [&](std::uint16_t it)
+                            {
+                                return std::find(
+                                           current[rank].begin(),
+                                           current[rank].end(),
+                                           it) == current[rank].end();
+                            }));
+                    RC_ASSERT(fresh <= bound.new_per_rank);
+                    held.insert(own.begin(), own.end());
+                }
+                RC_ASSERT(held.size() == experts);
+                RC_ASSERT(out.after <= out.before + 1e-9);
+                current = out.ranks;
+            }
+        });
+}
+
+// Replays a demand that changes at once, as it does every few seconds: the map
+// that is planned a quarter of a second later must fit the new demand alone.
+TEST_CASE("maps are planned for the demand since it changed", "[planner]")
+{
+    demand_feed feed;
+    group_experts const current{experts_in_turn()};
+    std::vector<double> const paces(ranks, 1.0);
+    feed.run(5, 10);
+    std::optional<planned_map> const first =
+        feed.planner.plan(current, engine(), paces, feed.now);
+    REQUIRE(first);
+    feed.run(40, 3);
+    std::optional<planned_map> const second =
+        feed.planner.plan(first->experts, engine(), paces, feed.now);
+    REQUIRE(second);
+    balanced_set const as_new = balance_ranks(
+        second->experts[0], skewed_shares(40), paces, limits());
+    CHECK(as_new.before < 1.6);
+}
+
+TEST_CASE("a balanced group is left alone", "[planner]")
+{
+    demand_feed feed;
+    std::vector<double> const paces(ranks, 1.0);
+    group_experts current{experts_in_turn()};
+    feed.run(5, 10);
+    int changes = 0;
+    for (int k = 0; k < 20; ++k)
+    {
+        std::optional<planned_map> const next =
+            feed.planner.plan(current, engine(), paces, feed.now);
+        if (next)
+        {
+            ++changes;
+            current = next->experts;
+        }
+        feed.run(5, 1);
+    }
+    CHECK(changes <= 4);
+}
+
+TEST_CASE("counts that start anew are no demand", "[planner]")
+{
+    demand_feed feed;
+    feed.run(5, 5);
+    feed.counts = {2, 2, std::vector<std::uint64_t>(experts, 0)};
+    feed.now += milliseconds{100};
+    for (std::uint32_t rank = 0; rank < ranks; ++rank)
+        feed.planner.on_counts(rank, feed.counts, feed.now);
+    CHECK_FALSE(feed.planner.plan(
+        {experts_in_turn()},
+        engine(),
+        std::vector<double>(ranks, 1.0),
+        feed.now));
+}
--- /dev/null
+++ b/test/platform_adapter/front_codec_test.cpp
@@ -0,0 +1,213 @@
+#include "platform/front_codec.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace hornbeamweir;
+using adapter::front_codec;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr char const* configuration = R"({"version":7,"unknown":1,"routes":[
+{"name":"a","hostname":"h","prefix":"/a/","routeType":"streaming",
+ "timeoutMs":8000,"targetLatencyMs":500,"priority":1,"maxAttempts":2,
+ "trafficSplit":[{"service":"s","weight":90},{"service":"t","weight":10}],
+ "public":false,"sessionAffinity":true,"streamResume":true,"targetGapMs":120},
+{"name":"b","hostname":"h","prefix":"/b/","routeType":"streaming",
+ "service":"s","timeoutMs":1000,"streamResume":false},
+{"name":"c","hostname":"h","prefix":"/c/","routeType":"safe","service":"t",
+ "public":true},
+{"name":"d","hostname":"h","prefix":"/d/","routeType":"unsafe","service":"t"},
+{"name":"e","hostname":"h","prefix":"/e/","routeType":"new","service":"t"}],
+"services":[{"name":"s","maxConnections":408,"engine":{"slots":12,
+ "step_ms":4.55,"per_seq_ms":0.905,"stride":4,"sets":4,"experts":72,
+ "placements":8,"spare":3,"expertMb":2200.0,"linkMbps":180000.0}},
+ {"name":"t","maxConnections":100}],
+"limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":3000,
+ "idleTimeoutMs":15000},
+"tenants":[{"name":"x","apiKeys":["k1","k2"],"priority":0}]})";
+
+} // namespace
+
+TEST_CASE("a configuration is decoded into the product's types", "[adapter]")
+{
+    result<route_configuration> const decoded =
+        front_codec{}.decode_configuration(configuration);
+    REQUIRE(decoded);
+    CHECK(decoded->version == 7);
+    struct row
+    {
+        std::size_t route;
+        repeat_class repeats;
+        bool streaming;
+    };
+    std::vector<row> const rows{
+        {0, repeat_class::resumable_stream, true},
+        {1, repeat_class::at_most_once, true},
+        {2, repeat_class::idempotent, false},
+        {3, repeat_class::at_most_once, false},
+        {4, repeat_class::at_most_once, false},
+    };
+    REQUIRE(decoded->routes.size() == rows.size());
+    for (row const& it : rows)
+    {
+        CAPTURE(it.route);
+        CHECK(decoded->routes[it.route].repeats == it.repeats);
+        CHECK(decoded->routes[it.route].streaming == it.streaming);
+    }
+    CHECK(decoded->routes[0].shares.size() == 2);
+    CHECK(decoded->routes[0].target_gap == milliseconds{120});
+    CHECK(decoded->routes[2].open_to_all);
+    REQUIRE(decoded->services[0].engine);
+    CHECK(decoded->services[0].engine->step == duration{4550});
+    CHECK(decoded->services[0].engine->new_per_map == 3);
+    CHECK_FALSE(decoded->services[1].engine);
+    CHECK(decoded->keys_required);
+    CHECK(decoded->keys.at("k2").customer == customer_id{"x"});
+    CHECK(decoded->keys.at("k2").priority == 0U);
+    CHECK(decoded->limits.idle_timeout == milliseconds{15000});
+}
+
+TEST_CASE("broken configurations are errors", "[adapter]")
+{
+    std::vector<char const*> const rows{
+        "",
+        "[]",
+        "{}",
+        R"({"version":1,"routes":[]})",
+        R"({"version":"1","routes":[],"services":[]})",
+        R"({"version":1,"routes":[{"hostname":"h"}],"services":[]})",
+        R"({"version":1,"routes":[],"services":[{}]})",
+    };
+    for (char const* it : rows)
+    {
+        CAPTURE(it);
+        CHECK_FALSE(front_codec{}.decode_configuration(it));
+    }
+}
+
+TEST_CASE("entries of other writers name no replica", "[adapter]")
+{
+    struct row
+    {
+        char const* bytes;
+        bool usable;
+    };
+    std::vector<row> const rows{
+        {R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":12,
+             "state":"ready","sequence":4})",
+         true},
+        {R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":12,
+             "state":"draining"})",
+         true},
+        {R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":12,
+             "state":"gone"})",
+         false},
+        {R"({"service":7,"address":"10.0.0.1:80","zone":"z","slots":12,
+             "state":"ready"})",
+         false},
+        {R"({"service":"s","address":"nowhere","zone":"z","slots":12,
+             "state":"ready"})",
+         false},
+        {R"({"service":"s","address":"10.0.0.1:80","slots":12,
+             "state":"ready"})",
+         false},
+        {R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":"12",
+             "state":"ready"})",
+         false},
+        {"\xff\x00garbage", false},
+        {"null", false},
+    };
+    for (row const& it : rows)
+    {
+        CAPTURE(it.bytes);
+        result<replica> const decoded =
+            front_codec{}.decode_replica("servers/i-1", it.bytes);
+        CHECK(decoded.has_value() == it.usable);
+        if (decoded)
+            CHECK(decoded->id == backend_server_id{"i-1"});
+    }
+}
+
+TEST_CASE("fields of callers are replaced, and others passed on", "[adapter]")
+{
+    front_codec const codec;
+    http_request_message message;
+    message.method = "POST";
+    message.target = "/a/b?c=d";
+    message.headers = {
+        {"Host", "h.example"},
+        {"X-Hornbeamweir-Attempt-Id", "id1"},
+        {"X-Hornbeamweir-Deadline-Ms", "8000"},
+        {"X-Hornbeamweir-Tenant", "forged"},
+        {"X-Hornbeamweir-Expect-Replica", "forged"},
+        {"X-Hornbeamweir-Token-Count", "1460,80"},
+        {"Authorization", "Bearer secret"},
+        {"Connection", "keep-alive, X-Hop"},
+        {"X-Hop", "1"},
+        {"X-Own", "2"}};
+    relay_request const request = codec.decode_request(message);
+    CHECK(request.id == request_id{"id1"});
+    CHECK(request.patience == duration{milliseconds{8000}});
+    CHECK(request.prompt_tokens == 1460);
+    CHECK(request.output_tokens == 80);
+    CHECK(request.key == "secret");
+    CHECK(request.host == "h.example");
+    relay::open_attempt attempt;
+    attempt.target.id = backend_server_id{"i-1"};
+    attempt.customer = customer_id{"x"};
+    attempt.time_left = milliseconds{7500};
+    attempt.resume_after = 4;
+    http_request_message const sent = codec.encode_attempt(request, attempt);
+    struct row
+    {
+        char const* name;
+        char const* value;
+    };
+    std::vector<row> const rows{
+        {"Host", "h.example"},
+        {"X-Hornbeamweir-Attempt-Id", "id1"},
+        {"X-Hornbeamweir-Deadline-Ms", "7500"},
+        {"X-Hornbeamweir-Tenant", "x"},
+        {"X-Hornbeamweir-Expect-Replica", "i-1"},
+        {"X-Hornbeamweir-Token-Count", "1460,80"},
+        {"Last-Event-Id", "4"},
+        {"X-Own", "2"},
+        {"X-Hop", nullptr},
+        {"Authorization", nullptr},
+        {"Connection", nullptr}};
+    for (row const& it : rows)
+    {
+        CAPTURE(it.name);
+        std::string const* const value = find_header(sent.headers, it.name);
+        CHECK((value != nullptr) == (it.value != nullptr));
+        if (value && it.value)
+            CHECK(*value == it.value);
+    }
+}
+
+TEST_CASE("a replica's statements are decoded", "[adapter]")
+{
+    front_codec const codec;
+    replica_answer const shed = codec.decode_answer(
+        503,
+        {{"X-Hornbeamweir-Not-Executed", "1"},
+         {"At-Server", "i-2"},
+         {"X-Hornbeamweir-Replica-Load", "3,0,8"}});
+    CHECK(shed.not_executed);
+    CHECK_FALSE(shed.is_signed);
+    CHECK(shed.at_fault == "i-2");
+    CHECK(shed.load == replica_load_report{3, 0, 8});
+    CHECK(codec.decode_answer(421, {}).not_executed);
+    CHECK_FALSE(codec.decode_answer(503, {}).not_executed);
+    header_list const mark{{"X-Hornbeamweir-Replica-Signature", "s"}};
+    CHECK(codec.decode_answer(200, mark).is_signed);
+    // An encoded body is not the replica's own.
+    CHECK_FALSE(codec
+                    .decode_answer(
+                        200,
+                        {{"X-Hornbeamweir-Replica-Signature", "s"},
+                         {"Content-Encoding", "gzip"}})
+                    .is_signed);
+}
--- /dev/null
+++ b/test/routes/route_table_test.cpp
@@ -0,0 +1,85 @@
+#include <hornbeamweir/routes/route_book.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace hornbeamweir;
+
+namespace
+{
+
+route make_route(std::string const& host, std::string const& prefix)
+{
+    route out;
+    out.name = host + prefix;
+    out.host = host;
+    out.prefix = prefix;
+    return out;
+}
+
+route_configuration with_version(std::uint64_t version)
+{
+    route_configuration out;
+    out.version = version;
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host's routes is chosen", "[routes]")
+{
+    route_configuration configuration;
+    configuration.routes = {
+        make_route("a", "/x/"),
+        make_route("a", "/x/y/"),
+        make_route("b", "/"),
+    };
+    route_table const table{configuration};
+    struct row
+    {
+        char const* host;
+        char const* target;
+        char const* name;
+    };
+    std::vector<row> const rows{
+        {"a", "/x/1", "a/x/"},
+        {"a", "/x/y/1", "a/x/y/"},
+        {"a", "/x/y", "a/x/"},
+        {"a", "/x/z/y/1", "a/x/"},
+        {"A:8080", "/x/1?p=/x/y/", "a/x/"},
+        {"a", "/xy/1", ""},
+        {"a", "/", ""},
+        {"b", "/anything", "b/"},
+        {"c", "/x/1", ""},
+    };
+    for (row const& it : rows)
+    {
+        CAPTURE(it.host, it.target);
+        route const* const found = table.find(it.host, it.target);
+        CHECK((found ? found->name : "") == it.name);
+    }
+}
+
+TEST_CASE("services are chosen by weight", "[routes]")
+{
+    route split = make_route("a", "/");
+    split.shares = {{service_name{"s"}, 90}, {service_name{"t"}, 10}};
+    CHECK(route_table::choose_service(split, 0.0).str() == "s");
+    CHECK(route_table::choose_service(split, 0.89).str() == "s");
+    CHECK(route_table::choose_service(split, 0.91).str() == "t");
+}
+
+TEST_CASE("versions never go back, and old reads prove nothing", "[routes]")
+{
+    route_book book;
+    time_point const start{std::chrono::seconds{10}};
+    std::chrono::seconds const second{1};
+    CHECK(book.take(with_version(5), start));
+    CHECK_FALSE(book.take(with_version(3), start + second));
+    CHECK(book.table()->configuration().version == 5);
+    CHECK(book.proof_age(start + second) == second);
+    CHECK_FALSE(book.take(with_version(5), start + second));
+    CHECK(book.proof_age(start + second) == duration{});
+    book.confirm(start);
+    CHECK(book.proof_age(start + second) == duration{});
+    CHECK(book.take(with_version(9), start + 2 * second));
+}
--- /dev/null
+++ b/test/support/relay_fixture.cpp
@@ -0,0 +1,112 @@
+#include "relay_fixture.hpp"
+
+namespace test
+{
+
+using namespace hornbeamweir;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+route make_route(
+    std::string const& name, std::string const& service, repeat_class repeats)
+{
+    route out;
+    out.name = name;
+    out.host = "h";
+    out.prefix = "/" + name + "/";
+    out.shares = {{service_name{service}, 1}};
+    out.repeats = repeats;
+    out.streaming = repeats == repeat_class::resumable_stream;
+    out.timeout = milliseconds{4000};
+    out.target_latency = milliseconds{300};
+    out.max_attempts = repeats == repeat_class::at_most_once ? 1 : 2;
+    return out;
+}
+
+replica make_replica(
+    std::string const& id, std::string const& service, int port)
+{
+    replica out;
+    out.id = backend_server_id{id};
+    out.service = service_name{service};
+    out.address = "127.0.0.1:" + std::to_string(port);
+    out.data_centre = data_centre_id{"a"};
+    out.slots = 4;
+    return out;
+}
+
+relay::relay_settings settings()
+{
+    relay::relay_settings out;
+    out.data_centre = data_centre_id{"a"};
+    out.retries.allowance = 100;
+    return out;
+}
+
+} // namespace
+
+relay_fixture::relay_fixture()
+    : core{settings(), log, metrics, random_source{1}}
+{
+    route_configuration configuration;
+    configuration.version = 7;
+    configuration.routes = {
+        make_route("safe", "plain", repeat_class::idempotent),
+        make_route("once", "plain", repeat_class::at_most_once),
+        make_route("stream", "lm", repeat_class::resumable_stream),
+        make_route("open", "plain", repeat_class::idempotent)};
+    configuration.routes.back().open_to_all = true;
+    configuration.services = {
+        {service_name{"plain"}, 100, {}}, {service_name{"lm"}, 100, {}}};
+    configuration.keys_required = true;
+    configuration.keys = {{"key", {customer_id{"school"}, {}}}};
+    core.routes().take(configuration, now);
+    std::map<backend_server_id, replica> replicas;
+    for (replica const& it :
+         {make_replica("p1", "plain", 1),
+          make_replica("p2", "plain", 2),
+          make_replica("l1", "lm", 3),
+          make_replica("l2", "lm", 4)})
+        replicas.emplace(it.id, it);
+    static_cast<void>(core.replicas().take(replicas, now));
+}
+
+relay::actions relay_fixture::request(
+    std::uint64_t number, std::string const& target, int patience_ms)
+{
+    relay_request out;
+    out.id = request_id{"r" + std::to_string(number)};
+    out.method = "POST";
+    out.target = target;
+    out.host = "h";
+    out.key = "key";
+    out.patience = milliseconds{patience_ms};
+    return core.on_request(number, std::move(out), now);
+}
+
+void relay_fixture::pass(milliseconds time, bool proved)
+{
+    now += time;
+    if (proved)
+        core.routes().confirm(now);
+}
+
+replica_answer signed_answer(unsigned status)
+{
+    replica_answer out;
+    out.status = status;
+    out.is_signed = true;
+    return out;
+}
+
+replica_answer not_executed(unsigned status)
+{
+    replica_answer out;
+    out.status = status;
+    out.not_executed = true;
+    return out;
+}
+
+} // namespace test
