--- a/test/expert_map/map_planner_test.cpp
+++ b/test/expert_map/map_planner_test.cpp
@@ -114,8 +114,7 @@
                 *rc::gen::inRange(1, 12);
             balance_limits bound = limits();
             bound.new_per_rank = *rc::gen::inRange(1U, 4U);
-            std::vector<std::vector<std::uint16_t>> current =
-                experts_in_turn();
+            std::vector<std::vector<std::uint16_t>> current = experts_in_turn();
             for (int round = 0; round < 3; ++round)
             {
                 balanced_set const out =
@@ -127,8 +126,8 @@
                         out.ranks[rank].begin(), out.ranks[rank].end());
                     RC_ASSERT(own.size() == out.ranks[rank].size());
                     RC_ASSERT(own.size() <= bound.slots_per_rank);
-                    std::size_t const fresh = static_cast<std::size_t>(
-                        std::count_if(
+                    std::size_t const fresh =
+                        static_cast<std::size_t>(std::count_if(
                             own.begin(),
                             own.end(),
                             [&](std::uint16_t it)
@@ -163,8 +162,8 @@
     std::optional<planned_map> const second =
         feed.planner.plan(first->experts, engine(), paces, feed.now);
     REQUIRE(second);
-    balanced_set const as_new = balance_ranks(
-        second->experts[0], skewed_shares(40), paces, limits());
+    balanced_set const as_new =
+        balance_ranks(second->experts[0], skewed_shares(40), paces, limits());
     CHECK(as_new.before < 1.6);
 }
 
--- /dev/null
+++ b/test/http/connection_pool_test.cpp
@@ -0,0 +1,196 @@
+#include <hornbeamweir/http/connection_pool.hpp>
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <thread>
+
+using namespace hornbeamweir;
+namespace asio = boost::asio;
+using tcp = boost::asio::ip::tcp;
+
+namespace
+{
+
+/// \brief Answers each request of one connection with the next text; ends the
+/// connection when there is none left.
+class scripted_server
+{
+public:
+    explicit scripted_server(std::vector<std::vector<std::string>> connections)
+        : acceptor_{context_, {asio::ip::make_address("127.0.0.1"), 0}}
+        , thread_{[this, script = std::move(connections)] { serve(script); }}
+    {
+    }
+    ~scripted_server() { thread_.join(); }
+    scripted_server(scripted_server const&) = delete;
+    scripted_server& operator=(scripted_server const&) = delete;
+
+    [[nodiscard]] tcp::endpoint endpoint() const
+    {
+        return acceptor_.local_endpoint();
+    }
+
+private:
+    void serve(std::vector<std::vector<std::string>> const& script)
+    {
+        for (std::vector<std::string> const& answers : script)
+        {
+            tcp::socket socket{context_};
+            acceptor_.accept(socket);
+            asio::streambuf buffer;
+            for (std::string const& answer : answers)
+            {
+                boost::system::error_code ec;
+                std::size_t const n =
+                    asio::read_until(socket, buffer, "\r\n\r\n", ec);
+                if (ec)
+                    break;
+                buffer.consume(n);
+                asio::write(socket, asio::buffer(answer), ec);
+            }
+        }
+    }
+
+    asio::io_context context_;
+    tcp::acceptor acceptor_;
+    std::thread thread_;
+};
+
+std::string answer(std::string const& id, std::string const& body)
+{
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+/// \brief Makes calls one after the other.
+struct client_fixture
+{
+    struct outcome
+    {
+        std::string body;
+        bool ended = false;
+        bool failed = false;
+        bool sent = false;
+    };
+
+    outcome
+    get(tcp::endpoint const& server, std::string const& id, bool fresh = false)
+    {
+        outcome out;
+        pooled_call_options options;
+        options.echoed_field = "X-Id";
+        options.fresh_connection = fresh;
+        options.timeout = std::chrono::seconds{2};
+        pooled_call_handlers handlers;
+        handlers.data = [&](std::string const& bytes) { out.body += bytes; };
+        handlers.ended = [&] { out.ended = true; };
+        handlers.failed = [&](error const&, bool sent)
+        {
+            out.failed = true;
+            out.sent = sent;
+        };
+        std::unique_ptr<pooled_call> const call = pool.call(
+            server,
+            {"GET", "/", {{"Host", "h"}, {"X-Id", id}}, {}},
+            options,
+            handlers);
+        while (!out.ended && !out.failed)
+            context.run_one();
+        // Lets a connection that has ended be noticed.
+        context.restart();
+        context.run_for(std::chrono::milliseconds{20});
+        context.restart();
+        return out;
+    }
+
+    asio::io_context context;
+    connection_pool pool{context, 4};
+};
+
+} // namespace
+
+TEST_CASE("connections are used again", "[http]")
+{
+    scripted_server server{{{answer("1", "one"), answer("2", "two")}}};
+    client_fixture client;
+    CHECK(client.get(server.endpoint(), "1").body == "one");
+    CHECK(client.get(server.endpoint(), "2").body == "two");
+    CHECK(client.pool.totals().opened == 1);
+    CHECK(client.pool.totals().reused == 1);
+}
+
+TEST_CASE("an answer to another request is skipped", "[http]")
+{
+    scripted_server server{
+        {{answer("1", "one"), answer("1", "again") + answer("2", "two")}}};
+    client_fixture client;
+    CHECK(client.get(server.endpoint(), "1").body == "one");
+    CHECK(client.get(server.endpoint(), "2").body == "two");
+    CHECK(client.pool.totals().skipped == 1);
+}
+
+TEST_CASE("bytes behind an answer end its connection", "[http]")
+{
+    scripted_server server{
+        {{answer("1", "one") + answer("1", "extra")}, {answer("2", "two")}}};
+    client_fixture client;
+    CHECK(client.get(server.endpoint(), "1").body == "one");
+    CHECK(client.get(server.endpoint(), "2").body == "two");
+    CHECK(client.pool.totals().opened == 2);
+}
+
+TEST_CASE("answers that are cut short are failures", "[http]")
+{
+    struct row
+    {
+        char const* text;
+        bool ended;
+    };
+    std::vector<row> const rows{
+        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort", false},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+         false},
+        {"HTTP/1.1 200 OK\r\n\r\nuntil the end", true},
+        {"no protocol", false},
+        {"", false},
+    };
+    for (row const& it : rows)
+    {
+        CAPTURE(it.text);
+        scripted_server server{{{it.text}}};
+        client_fixture client;
+        client_fixture::outcome const out = client.get(server.endpoint(), "1");
+        CHECK(out.ended == it.ended);
+        CHECK(out.failed != it.ended);
+        CHECK(out.sent != it.ended);
+    }
+}
+
+TEST_CASE("a call that must not meet a stale connection opens one", "[http]")
+{
+    scripted_server server{{{answer("1", "one")}, {answer("2", "two")}}};
+    client_fixture client;
+    CHECK(client.get(server.endpoint(), "1").body == "one");
+    CHECK(client.get(server.endpoint(), "2", true).body == "two");
+    CHECK(client.pool.totals().opened == 2);
+}
+
+TEST_CASE("a server that is not there was sent nothing", "[http]")
+{
+    tcp::endpoint nowhere;
+    {
+        asio::io_context context;
+        tcp::acceptor const acceptor{
+            context, {asio::ip::make_address("127.0.0.1"), 0}};
+        nowhere = acceptor.local_endpoint();
+    }
+    client_fixture client;
+    client_fixture::outcome const out = client.get(nowhere, "1");
+    CHECK(out.failed);
+    CHECK_FALSE(out.sent);
+}
--- a/test/relay/overload_test.cpp
+++ b/test/relay/overload_test.cpp
@@ -1,9 +1,10 @@
+#include <hornbeamweir/relay/stream_limit.hpp>
+
 #include "test/support/relay_fixture.hpp"
 
-#include <hornbeamweir/relay/stream_limit.hpp>
+#include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <catch2/catch.hpp>
 
 using namespace hornbeamweir;
 using namespace hornbeamweir::relay;
@@ -31,8 +32,8 @@
             {
                 running[sent->request] = {
                     it.now + milliseconds{200}, sent->attempt};
-                longest_wait = std::max(
-                    longest_wait, it.now - arrived.at(sent->request));
+                longest_wait =
+                    std::max(longest_wait, it.now - arrived.at(sent->request));
             }
             else if (refuse const* no = std::get_if<refuse>(&one))
             {
@@ -41,8 +42,7 @@
                 CHECK(no->state == execution_state::not_run);
                 returns.push_back(*no->retry_after);
                 // Nobody waits longer than a request could still be on time.
-                CHECK(
-                    it.now - arrived.at(no->request) <= milliseconds{180});
+                CHECK(it.now - arrived.at(no->request) <= milliseconds{180});
             }
         }
     };
@@ -60,8 +60,8 @@
             std::uint32_t const attempt = running.at(id).second;
             running.erase(id);
             ++served;
-            apply(it.core.on_head(
-                id, attempt, test::signed_answer(200), it.now));
+            apply(
+                it.core.on_head(id, attempt, test::signed_answer(200), it.now));
             apply(it.core.on_end(id, attempt, it.now));
         }
         ++number;
@@ -73,7 +73,8 @@
     CHECK(served > 480 * 8 / 1000.0 * 40 * 0.9);
     CHECK(longest_wait <= milliseconds{180});
     CHECK(refused > 100);
-    auto const [least, most] = std::minmax_element(returns.begin(), returns.end());
+    auto const [least, most] =
+        std::minmax_element(returns.begin(), returns.end());
     CHECK(*most - *least > milliseconds{500});
     CHECK(*most <= duration{milliseconds{4000}} / 3);
 }
@@ -90,7 +91,8 @@
         int gap_ms;
         std::uint32_t limit;
     };
-    std::vector<row> const rows{{0, 12}, {40, 1}, {80, 6}, {120, 11}, {500, 12}};
+    std::vector<row> const rows{
+        {0, 12}, {40, 1}, {80, 6}, {120, 11}, {500, 12}};
     for (row const& row : rows)
     {
         CAPTURE(row.gap_ms);
--- a/test/relay/relay_core_test.cpp
+++ b/test/relay/relay_core_test.cpp
@@ -146,10 +146,7 @@
         it.core.on_head(1, second->attempt, signed_answer(200), it.now));
     // The second replica repeats an event; it is dropped.
     out = it.core.on_data(
-        1,
-        second->attempt,
-        "id: 2\ndata: b\n\nid: 3\ndata: c\n\n",
-        it.now);
+        1, second->attempt, "id: 2\ndata: b\n\nid: 3\ndata: c\n\n", it.now);
     CHECK_FALSE(find_action<send_head>(out));
     CHECK(find_action<send_data>(out)->bytes == "id: 3\ndata: c\n\n");
     out = it.core.on_end(1, second->attempt, it.now);
@@ -224,8 +221,7 @@
     actions const out = it.core.on_tick(it.now);
     CHECK(find_action<close_attempt>(out));
     REQUIRE(find_action<refuse>(out));
-    CHECK(
-        find_action<refuse>(out)->state == execution_state::may_have_run);
+    CHECK(find_action<refuse>(out)->state == execution_state::may_have_run);
     CHECK(http_status_of(find_action<refuse>(out)->code) == 504);
 }
 
--- a/test/support/relay_fixture.cpp
+++ b/test/support/relay_fixture.cpp
@@ -25,8 +25,8 @@
     return out;
 }
 
-replica make_replica(
-    std::string const& id, std::string const& service, int port)
+replica
+make_replica(std::string const& id, std::string const& service, int port)
 {
     replica out;
     out.id = backend_server_id{id};
