Replace copies that the demand has outrun, and copy less

Change: a map that would have a skew over 1.8 by now is replaced while it is copied; each copy must bring 0.015 of skew, each move 8 % of the badness.

--- a/include/hornbeamweir/expert_map/hold_coordinator.hpp
+++ b/include/hornbeamweir/expert_map/hold_coordinator.hpp
@@ -74,6 +74,13 @@
     /// \brief Whether a new map may be started.
     [[nodiscard]] bool ready_for_map(time_point now) const;
 
+    /// \brief The map that ranks are copying, which another one may replace.
+    /// \returns Null if none is being copied.
+    [[nodiscard]] group_experts const* copied_map() const noexcept
+    {
+        return leading_ && phase_ == phase::preparing ? &mapping_ : nullptr;
+    }
+
     /// \brief The map in force.
     /// \returns Nothing until all ranks have reported the same version.
     [[nodiscard]] std::optional<group_experts> in_force() const;
@@ -84,7 +91,7 @@
     /// \brief Whether the experts that a rank holds are known.
     [[nodiscard]] bool knows_experts(std::uint32_t rank) const;
 
-    /// \brief Starts the change to a map.
+    /// \brief Starts the change to a map, in place of one that is copied.
     void start(group_experts mapping, time_point now);
 
     /// \brief Returns the orders that are due.
--- a/include/hornbeamweir/expert_map/map_planner.hpp
+++ b/include/hornbeamweir/expert_map/map_planner.hpp
@@ -37,9 +37,14 @@
         std::vector<double> const& paces,
         time_point now) const;
 
-    /// \brief Whether the demand has changed a moment ago, so that a map that
-    /// is being copied was planned for another one.
-    [[nodiscard]] bool demand_changed(std::size_t size, time_point now) const;
+    /// \brief Greatest load of a rank over the mean that a map would have with
+    /// the demand of the last moments, as a mean over the sets.
+    /// \returns Nothing while the demand is not known well enough.
+    [[nodiscard]] std::optional<double> skew_of(
+        group_experts const& experts,
+        engine_profile const& engine,
+        std::vector<double> const& paces,
+        time_point now) const;
 
 private:
     struct sample
--- a/include/hornbeamweir/placement/rank_balancer.hpp
+++ b/include/hornbeamweir/placement/rank_balancer.hpp
@@ -16,7 +16,7 @@
     std::uint32_t new_per_rank = 1;
     /// Least relative reduction of the sum of the loads' eighth powers that a
     /// move must bring.
-    double least_gain = 0.04;
+    double least_gain = 0.08;
 };
 
 /// \brief A placement of one set.
--- a/src/daemon/group_coordination.cpp
+++ b/src/daemon/group_coordination.cpp
@@ -19,6 +19,9 @@
 constexpr duration plan_interval = milliseconds{100};
 /// Age of a report from which a rank is asked without its agent.
 constexpr duration silence = milliseconds{350};
+/// Skew that a map that is being copied would have by now; maps are planned
+/// for 1.1, and 3 is usual after a change of demand.
+constexpr double outdated_skew = 1.8;
 
 std::optional<std::uint32_t> rank_in(std::string const& record)
 {
@@ -143,7 +146,8 @@
     // The next coordinator has to know at whose rank a change may have ended.
     if (may_plan && !leadership_.recorded())
         leadership_.write_record(std::to_string(rank_));
-    else if (may_plan)
+    else if (
+        may_plan || (now - planned_ >= plan_interval && copies_outdated(now)))
         plan(now);
     send_due(now);
 }
@@ -191,17 +195,33 @@
         });
 }
 
+// The demand may change while ranks copy a map that was planned before.
+bool group_coordination::copies_outdated(time_point now) const
+{
+    group_experts const* const copied = coordinator_.copied_map();
+    if (!copied || !engine_)
+        return false;
+    std::optional<double> const skew =
+        planner_.skew_of(*copied, *engine_, paces(), now);
+    return skew && *skew > outdated_skew;
+}
+
+std::vector<double> group_coordination::paces() const
+{
+    std::vector<double> out;
+    for (auto const& [rank, pace] : paces_)
+        out.push_back(std::max(1.0, pace));
+    return out;
+}
+
 void group_coordination::plan(time_point now)
 {
     planned_ = now;
     std::optional<group_experts> const current = coordinator_.in_force();
     if (!engine_ || !current)
         return;
-    std::vector<double> paces;
-    for (auto const& [rank, pace] : paces_)
-        paces.push_back(std::max(1.0, pace));
     std::optional<planned_map> next =
-        planner_.plan(*current, *engine_, paces, now);
+        planner_.plan(*current, *engine_, paces(), now);
     if (!next)
         return;
     event line{"map_planned"};
--- a/src/daemon/group_coordination.hpp
+++ b/src/daemon/group_coordination.hpp
@@ -77,6 +77,8 @@
     void read_profile();
     void read_replicas();
     void plan(time_point now);
+    [[nodiscard]] bool copies_outdated(time_point now) const;
+    [[nodiscard]] std::vector<double> paces() const;
     void send_due(time_point now);
 
     platform& platform_;
--- a/src/expert_map/map_planner.cpp
+++ b/src/expert_map/map_planner.cpp
@@ -31,7 +31,7 @@
 /// Reduction of the skew that each copied expert must bring, on average. A
 /// change of demand brings 0.05 and more; what is left after it 0.003, which
 /// no caller notices.
-constexpr double least_gain_per_move = 0.01;
+constexpr double least_gain_per_move = 0.015;
 /// Time for which a map is worth its gain; by then the next one can be there.
 constexpr double horizon_s = 1.5;
 /// Time for the switch itself: orders, and the wait for the held pass.
@@ -155,10 +155,26 @@
     return out;
 }
 
-bool map_planner::demand_changed(std::size_t size, time_point now) const
+std::optional<double> map_planner::skew_of(
+    group_experts const& experts,
+    engine_profile const& engine,
+    std::vector<double> const& paces,
+    time_point now) const
 {
-    demand const recent = recent_demand(size, now);
-    return recent.changed && recent.settled;
+    demand const recent = recent_demand(experts.size() * engine.experts, now);
+    if (!recent.settled)
+        return std::nullopt;
+    // With no move allowed, balancing only measures.
+    balance_limits limits;
+    limits.least_gain = 1;
+    double total = 0;
+    for (std::size_t set = 0; set < experts.size(); ++set)
+    {
+        std::span<double const> const shares{
+            recent.choices.data() + set * engine.experts, engine.experts};
+        total += balance_ranks(experts[set], shares, paces, limits).before;
+    }
+    return total / static_cast<double>(experts.size());
 }
 
 std::optional<planned_map> map_planner::plan(
