Send no new streams to a rank that holds up its group

Ruled out: the move of its streams (it worked, and new ones came).

Change: ranks with a pace over 2.5 are candidates only if no other is usable, full or not.

--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -24,9 +24,6 @@
 constexpr duration stuck_pause = std::chrono::milliseconds{900};
 /// A replica's last answer that shows that its service works.
 constexpr duration recent = std::chrono::milliseconds{250};
-/// Relative time of a rank from which its streams are moved: with less, its
-/// group's passes stay within the pause that callers accept.
-constexpr double slow_pace = 2.5;
 
 } // namespace
 
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -44,6 +44,17 @@
              condition.pace,
              failures_.score_of(it->id, now)});
     }
+    // One slow rank holds up its whole group, so that it is no better than a
+    // full one, even if it has free slots.
+    bool const any_fast = std::any_of(
+        out.begin(),
+        out.end(),
+        [](candidate const& it) { return it.pace < slow_pace; });
+    if (any_fast)
+    {
+        std::erase_if(
+            out, [](candidate const& it) { return it.pace >= slow_pace; });
+    }
     return out;
 }
 
--- a/test/relay/relay_core_test.cpp
+++ b/test/relay/relay_core_test.cpp
@@ -248,6 +248,22 @@
     CHECK(second->target.id != first->target.id);
 }
 
+// All other ranks of the group were full, so that its one slow rank, which had
+// free slots, got every new stream and held up all passes.
+TEST_CASE("a slow rank with free slots gets no new streams", "[relay]")
+{
+    relay_fixture it;
+    it.core.loads().on_rank(backend_server_id{"l1"}, {true, 12, it.now});
+    for (std::uint64_t n = 1; n <= 8; ++n)
+    {
+        std::optional<open_attempt> const sent =
+            find_action<open_attempt>(it.request(n, "/stream/x", 3000));
+        CHECK(sent.has_value() == (n <= 4));
+        if (sent)
+            CHECK(sent->target.id == backend_server_id{"l2"});
+    }
+}
+
 TEST_CASE("a group that cannot work refuses at once", "[relay]")
 {
     relay_fixture it;
