Let requests wait briefly for a group that forms again

Ruled out: waiting in every outage, which holds callers that cannot be served.

Change: in the first 2 s without a usable replica requests wait for one, up to 1.5 s and 0.3 of their time; later ones are refused at once as before. The test of the refusal at once is replaced by two that fix both bounds.

--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -156,6 +156,8 @@
         retry_allowance budget;
         /// When any of its replicas last sent part of an answer.
         time_point last_progress{};
+        /// Since when no replica has been usable.
+        std::optional<time_point> unusable_since;
         /// Configuration that the following were taken from.
         std::shared_ptr<route_table const> table;
         step_cost cost;
@@ -169,6 +171,10 @@
     candidates_for(record const& of, time_point now);
     void refresh(service_state& state, service_name const& name) const;
     [[nodiscard]] bool try_send(record_iterator it, time_point now, actions&);
+    /// \returns Nothing while any replica is usable; otherwise how long a
+    /// request may wait for one, which is not positive in a long outage.
+    [[nodiscard]] std::optional<duration>
+    outage_wait(record const& of, time_point now);
     void enqueue(record_iterator it, time_point now, actions& out);
     void dispatch(service_name const& name, time_point now, actions& out);
     void dispatch_all(time_point now, actions& out);
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -74,6 +74,7 @@
             fair_queue{random_source{random_.next()}},
             retry_allowance{settings_.retries},
             {},
+            std::nullopt,
             nullptr,
             {},
             0};
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -16,6 +16,12 @@
 /// Callers with less time than this part of the route's timeout have spent the
 /// rest on an earlier try.
 constexpr double returning_part = 0.95;
+/// Time after the loss of all replicas in which requests wait for them.
+constexpr duration outage_limit = std::chrono::milliseconds{2000};
+/// Callers leave streams that do not begin within two seconds.
+constexpr duration longest_outage_wait = std::chrono::milliseconds{1500};
+/// Part of a caller's time that it may wait for replicas to return.
+constexpr double outage_part = 0.3;
 /// Further attempts that may wait at a replica whose slots are taken.
 constexpr std::uint32_t repeats_beyond_slots = 2;
 
@@ -86,12 +92,32 @@
     }
 }
 
+// A group that has lost a rank forms again within a second or two, so that the
+// first requests wait for it; later ones are told at once to come back.
+std::optional<duration>
+relay_core::outage_wait(record const& of, time_point now)
+{
+    service_state& state = state_of(of.service);
+    if (!candidates_for(of, now).empty())
+    {
+        state.unusable_since.reset();
+        return std::nullopt;
+    }
+    if (!state.unusable_since)
+        state.unusable_since = now;
+    return std::min(
+        {*state.unusable_since + outage_limit - now,
+         longest_outage_wait,
+         scaled(of.deadline - now, outage_part)});
+}
+
 // A request that can still be on time waits as long as that holds; one that
 // returned after a refusal is late anyhow and gives way, but may wait longer.
 void relay_core::enqueue(record_iterator it, time_point now, actions& out)
 {
     record& of = it->second;
-    if (candidates_for(of, now).empty())
+    std::optional<duration> const outage = outage_wait(of, now);
+    if (outage && *outage <= duration::zero())
     {
         reject(
             it,
@@ -111,7 +137,7 @@
     item.id = request_id{std::to_string(it->first)};
     item.customer = of.customer;
     item.priority = 2 * of.rule.priority + (returning ? 1 : 0);
-    item.deadline = now + wait;
+    item.deadline = now + outage.value_or(wait);
     service_name const service = of.service;
     if (state_of(service).waiting.push(item, now))
     {
