--- a/include/hornbeamweir/telemetry/console_log.hpp
+++ b/include/hornbeamweir/telemetry/console_log.hpp
@@ -18,7 +18,9 @@
     operator==(log_settings const&, log_settings const&) = default;
 };
 
-/// \brief Writes events to standard error through Boost.Log.
+/// \brief Writes events to standard output through Boost.Log.
+/// \remarks Never blocks: lines that the output cannot take, or that exceed the
+/// rate, are counted, and the count is written later.
 class console_log final : public event_log
 {
 public:
--- a/src/telemetry/console_log.cpp
+++ b/src/telemetry/console_log.cpp
@@ -11,6 +11,8 @@
 #include <chrono>
 #include <iostream>
 #include <mutex>
+#include <poll.h>
+#include <unistd.h>
 
 namespace hornbeamweir
 {
@@ -24,7 +26,7 @@
 {
     logging::add_common_attributes();
     logging::add_console_log(
-        std::cerr,
+        std::cout,
         logging::keywords::format =
             (logging::expressions::stream
              << "time="
@@ -35,6 +37,14 @@
         logging::keywords::auto_flush = true);
 }
 
+// A pipe that is ready takes a line without blocking. A reader that has stalled
+// must not stall this process.
+bool output_ready() noexcept
+{
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    return ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
 std::int64_t current_second()
 {
     return std::chrono::duration_cast<std::chrono::seconds>(
@@ -75,7 +85,7 @@
             suppressed_ = 0;
         }
     }
-    if (written_ >= settings_.lines_per_second)
+    if (written_ >= settings_.lines_per_second || !output_ready())
     {
         ++suppressed_;
         return false;
