Refuse requests that an entry could not answer before its end

Ruled out: new connections (the count of accepted ones stays), answers that keep their connection (tested).

Change: once the entry has closed to callers it refuses each further request as not run, to be sent to another entry; what has begun is answered. Test red before (no such refusal existed). stopped and callers_closed lines count connections.

--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -57,6 +57,10 @@
     [[nodiscard]] load_board& loads() noexcept { return board_; }
     void update(relay_settings const& settings) { settings_ = settings; }
 
+    /// \brief Refuses all later requests: the process ends before it could
+    /// answer them.
+    void close() noexcept { closed_ = true; }
+
     // Requests.
     [[nodiscard]] actions
     on_request(relay_number number, relay_request request, time_point now);
@@ -225,6 +229,7 @@
     failure_tracker failures_;
     replica_chooser chooser_;
     return_planner returns_;
+    bool closed_ = false;
     std::map<service_name, service_state> services_;
     std::map<relay_number, record> records_;
 };
--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -124,7 +124,10 @@
         loop_.on_reload([this] { reload("signal"); });
         loop_.run(
             [this] { tick(); }, [this] { drain(); }, [this] { return idle(); });
-        log_.info(event{"stopped"});
+        event stopped{"stopped"};
+        stopped.with("connections", callers_.totals().open)
+            .with("accepted", callers_.totals().accepted);
+        log_.info(stopped);
     }
 
 private:
@@ -267,10 +270,13 @@
     void close_callers()
     {
         closed_ = true;
+        std::uint64_t const open = callers_.totals().open;
+        core_.close();
         callers_.stop_accepting();
         callers_.close_idle();
         event line{"callers_closed"};
-        line.with("open_requests", core_.open_requests());
+        line.with("open_requests", core_.open_requests())
+            .with("connections", open);
         log_.info(line);
     }
 
--- a/src/placement/rank_balancer.cpp
+++ b/src/placement/rank_balancer.cpp
@@ -60,8 +60,8 @@
             total > 0 ? static_cast<double>(current.size()) / total : 0;
         for (double& it : shares_)
             it *= scale;
-        for (std::uint16_t expert = 0; expert < shares_.size(); ++expert)
-            add_load(expert, 1, loads_);
+        for (std::size_t n = 0; n < shares_.size(); ++n)
+            add_load(static_cast<std::uint16_t>(n), 1, loads_);
     }
 
     [[nodiscard]] double greatest() const
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -40,6 +40,8 @@
 
 relay_core::verdict relay_core::resolve(record& of, time_point now)
 {
+    if (closed_)
+        return {result_code::draining, "this entry is about to end", true};
     std::shared_ptr<route_table const> const table = book_.table();
     if (!table)
         return {result_code::not_ready, "no configuration was read yet", true};
--- a/test/relay/relay_core_test.cpp
+++ b/test/relay/relay_core_test.cpp
@@ -264,6 +264,28 @@
     }
 }
 
+// A request that came seven seconds after SIGTERM was sent on, and cut off when
+// the grace period ended.
+TEST_CASE("an entry that is about to end refuses truthfully", "[relay]")
+{
+    relay_fixture it;
+    std::optional<open_attempt> const begun =
+        find_action<open_attempt>(it.request(1, "/once/x", 3000));
+    REQUIRE(begun);
+    it.core.close();
+    std::optional<refuse> const refused =
+        find_action<refuse>(it.request(2, "/once/x", 3000));
+    REQUIRE(refused);
+    CHECK(refused->state == execution_state::not_run);
+    CHECK(http_status_of(refused->code) == 503);
+    CHECK(refused->close_connection);
+    CHECK(refused->retry_after);
+    // What has begun is answered.
+    static_cast<void>(
+        it.core.on_head(1, begun->attempt, signed_answer(200), it.now));
+    CHECK(find_action<send_end>(it.core.on_end(1, begun->attempt, it.now)));
+}
+
 TEST_CASE("requests wait for a group that forms again", "[relay]")
 {
     relay_fixture it;
