--- a/src/http/pooled_exchange.cpp
+++ b/src/http/pooled_exchange.cpp
@@ -1,5 +1,7 @@
 #include "pooled_exchange.hpp"
 
+#include "request_text.hpp"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -7,7 +9,6 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
-#include <charconv>
 #include <netinet/tcp.h>
 #include <optional>
 
@@ -26,49 +27,10 @@
 /// Time after which unacknowledged bytes end a connection: peers that lost
 /// power or are cut off send no reset.
 constexpr int unacknowledged_ms = 3000;
-/// How long a connection is kept if the server names no time.
-constexpr duration usual_idle = std::chrono::seconds{30};
-/// Taken off the server's time, so that a request does not meet its end.
-constexpr duration idle_margin = std::chrono::milliseconds{1000};
 /// Answers to earlier requests that are skipped before a connection is given
 /// up.
 constexpr int max_skipped = 3;
 
-std::string write_request(http_request_message const& message)
-{
-    std::string out = message.method + ' ' + message.target + " HTTP/1.1\r\n";
-    for (header_field const& field : message.headers)
-    {
-        if (is_hop_by_hop(field.name) ||
-            same_header_name(field.name, "Content-Length"))
-            continue;
-        out.append(field.name).append(": ").append(field.value).append("\r\n");
-    }
-    bool const has_body = !message.body.empty() || message.method == "POST" ||
-                          message.method == "PUT" || message.method == "PATCH";
-    if (has_body)
-    {
-        out.append("Content-Length: ")
-            .append(std::to_string(message.body.size()))
-            .append("\r\n");
-    }
-    out.append("\r\n").append(message.body);
-    return out;
-}
-
-/// Reads the time of a Keep-Alive field, such as "timeout=5, max=100".
-duration keep_alive_time(std::string_view field)
-{
-    constexpr std::string_view key = "timeout=";
-    std::size_t const at = field.find(key);
-    if (at == std::string_view::npos)
-        return usual_idle;
-    std::string_view const digits = field.substr(at + key.size());
-    unsigned seconds = 0;
-    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-    return std::chrono::seconds{seconds} - idle_margin;
-}
-
 } // namespace
 
 class pooled_exchange : public std::enable_shared_from_this<pooled_exchange>
