Book the returns of refused callers one after the other

Cause: a customer's refusal by its concurrency limit said Retry-After: 1 to everyone, and one by its rate said the time of the next token to everyone, so that 333 of 400 calls came back in the same second and were mostly refused again. The queue's refusals were spread over one second, which the rounding up to whole seconds undid.

Ruled out: random spreading over a fixed time, which either comes back too early for a large flood or too late for a small one.

The queue spreads over two seconds at least.

--- a/include/hornbeamweir/admission/admission_controller.hpp
+++ b/include/hornbeamweir/admission/admission_controller.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <hornbeamweir/admission/return_schedule.hpp>
 #include <hornbeamweir/configuration/objects.hpp>
 #include <hornbeamweir/core/error.hpp>
 #include <hornbeamweir/core/time.hpp>
 
 #include <map>
+#include <optional>
 
 namespace hornbeamweir
 {
@@ -31,7 +33,8 @@
     admit(customer const& who, double share, double even_share, time_point now);
 
     /// \brief Notes that an admitted request has ended, or was refused later.
-    void release(customer_id const& who);
+    /// \param served Time that it took, if it was answered.
+    void release(customer_id const& who, std::optional<duration> served);
 
 private:
     struct bucket
@@ -40,6 +43,9 @@
         time_point updated{};
         std::uint32_t in_flight = 0;
         bool started = false;
+        /// Smoothed time that the customer's requests take.
+        duration usual_time = std::chrono::seconds{1};
+        return_schedule returns;
     };
 
     std::map<customer_id, bucket> buckets_;
--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -9,8 +9,10 @@
 namespace
 {
 
-constexpr double max_wait_s = 60;
-constexpr duration concurrency_retry_after = std::chrono::seconds{1};
+/// Callers are told whole seconds.
+constexpr duration least_wait = std::chrono::seconds{1};
+/// Weight of one more request in the usual time.
+constexpr double smoothing = 0.1;
 
 double seconds(duration span) noexcept
 {
@@ -30,29 +32,38 @@
     state.tokens = std::min(burst, state.tokens + earned);
     state.started = true;
     state.updated = now;
-    if (state.in_flight >= std::max(1.0, std::floor(who.concurrency * share)))
+    double const places = std::max(1.0, std::floor(who.concurrency * share));
+    if (state.in_flight >= places)
     {
         return tl::unexpected<admission_refusal>{
-            {result_code::concurrency_limited, concurrency_retry_after}};
+            {result_code::concurrency_limited,
+             state.returns.book(
+                 least_wait, places / seconds(state.usual_time), now)}};
     }
     if (state.tokens < 1)
     {
-        double const wait = (1 - state.tokens) / rate;
         return tl::unexpected<admission_refusal>{
             {result_code::rate_limited,
-             std::chrono::duration_cast<duration>(
-                 std::chrono::duration<double>(std::min(wait, max_wait_s)))}};
+             state.returns.book(least_wait, rate, now)}};
     }
     state.tokens -= 1;
     ++state.in_flight;
     return {};
 }
 
-void admission_controller::release(customer_id const& who)
+void admission_controller::release(
+    customer_id const& who, std::optional<duration> served)
 {
     auto const it = buckets_.find(who);
-    if (it != buckets_.end() && it->second.in_flight > 0)
-        --it->second.in_flight;
+    if (it == buckets_.end() || it->second.in_flight == 0)
+        return;
+    bucket& state = it->second;
+    --state.in_flight;
+    if (!served)
+        return;
+    duration const difference = *served - state.usual_time;
+    state.usual_time += duration{static_cast<duration::rep>(
+        smoothing * static_cast<double>(difference.count()))};
 }
 
 } // namespace hornbeamweir
--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -10,6 +10,9 @@
 
 constexpr double smoothing = 0.05;
 constexpr duration min_retry_after = std::chrono::seconds{1};
+/// Callers are told whole seconds, rounded up: over less than two of them,
+/// all would return in the same one.
+constexpr duration min_spread = std::chrono::seconds{2};
 
 } // namespace
 
@@ -57,7 +60,7 @@
     double const drain =
         departure_interval_us_ * static_cast<double>(size_ + 1);
     duration const spread =
-        std::max(min_retry_after, duration{static_cast<duration::rep>(drain)});
+        std::max(min_spread, duration{static_cast<duration::rep>(drain)});
     return min_retry_after +
            duration{static_cast<duration::rep>(
                static_cast<double>(spread.count()) * random_.unit())};
--- a/src/entry/entry_requests.cpp
+++ b/src/entry/entry_requests.cpp
@@ -195,7 +195,10 @@
 {
     auto const it = live_.find(id);
     inbound_request const& request = it->second.machine.request();
-    admission_.release(request.customer);
+    admission_.release(
+        request.customer,
+        it->second.head_sent ? std::optional{now - request.arrived}
+                             : std::nullopt);
     overload_gate& gate = gate_of(request);
     gate.leave(id, it->second.head_sent);
     if (it->second.head_sent)
--- a/test/admission/overload_gate_test.cpp
+++ b/test/admission/overload_gate_test.cpp
@@ -97,9 +97,17 @@
 {
     fair_queue queue{random_source{1}};
     std::set<duration> times;
+    std::map<std::chrono::seconds, int> told;
     for (int n = 0; n < 50; ++n)
-        times.insert(queue.retry_after());
+    {
+        duration const chosen = queue.retry_after();
+        times.insert(chosen);
+        ++told[std::chrono::ceil<std::chrono::seconds>(chosen)];
+    }
     CHECK(times.size() > 40);
+    // Callers are told whole seconds.
+    for (auto const& [after, callers] : told)
+        CHECK(callers <= 35);
 }
 
 TEST_CASE("the dispatch limit falls on queues and rises on use")
--- a/test/admission/share_exchange_test.cpp
+++ b/test/admission/share_exchange_test.cpp
@@ -74,7 +74,7 @@
                                     .has_value();
             admitted += passed ? 1 : 0;
             if (passed)
-                controllers_[n].release(who.id);
+                controllers_[n].release(who.id, std::nullopt);
         }
         return admitted;
     }
