Answer requests that arrive in parts while an entry ends

Cause: close_idle() took a connection for idle once the head of a request was read and its body was still on its way: nothing was buffered then. An entry also ended as soon as its core had no request, with answers not yet written and requests half read.

Ruled out: the accept queue, which is closed with the acceptor; answers in progress, which close their connection (tested before).

Change: a read head counts as a request on its way, and an entry ends when no caller's connection is left, at the latest at the end of its grace period.

--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -287,7 +287,8 @@
             std::chrono::seconds{settings_.grace_s} - grace_margin;
         if (elapsed >= grace)
             return true;
-        return elapsed >= least_drain && core_.open_requests() == 0;
+        // Callers may still read their answers, or send a request.
+        return closed_ && callers_.totals().open == 0;
     }
 
     void reload(std::string_view cause)
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -366,12 +366,14 @@
     close();
 }
 
-// Bytes that have arrived and were not read yet are a request on its way.
+// Bytes that have arrived and were not read yet are a request on its way, and
+// so is a head whose body has not arrived.
 void http_session::close_if_idle()
 {
     boost::system::error_code ec;
-    bool const arrived =
-        buffer_.size() > 0 || stream_.socket().available(ec) > 0;
+    bool const arrived = buffer_.size() > 0 ||
+                         (parser_ && parser_->is_header_done()) ||
+                         stream_.socket().available(ec) > 0;
     if (phase_ == phase::reading && !arrived)
         close();
 }
--- a/test/http/closing_server_test.cpp
+++ b/test/http/closing_server_test.cpp
@@ -95,3 +95,25 @@
     CHECK(closing_fixture::is_closed(idle));
     CHECK_FALSE(closing_fixture::is_closed(busy));
 }
+
+// Its head was read and its body was on its way.
+TEST_CASE("a connection in the middle of a request is not idle", "[http]")
+{
+    closing_fixture it;
+    tcp::socket caller = it.connect();
+    std::string_view const head =
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n";
+    asio::write(caller, asio::buffer(head));
+    it.run();
+    it.server.stop_accepting();
+    it.server.close_idle();
+    it.run();
+    CHECK_FALSE(closing_fixture::is_closed(caller));
+    asio::write(caller, asio::buffer(std::string_view{"ok"}));
+    it.run();
+    REQUIRE(it.exchange);
+    it.exchange->send_head(200, {{"Content-Length", "0"}});
+    it.exchange->finish();
+    it.run();
+    CHECK(closing_fixture::is_closed(caller));
+}
