Follow a load that has changed as a whole at its first report

Cause: the popularity estimator learns of drift by smoothing over reports, and follows a single expert at once only if it deviates by five times the noise. At a festival's start most experts deviate by less, so that the third interval after it was planned with half of the change.

Change: if the mean square of a report's deviations is beyond chance by six times its spread, the report's own excess is the drift.

--- a/src/placement/popularity_estimator.cpp
+++ b/src/placement/popularity_estimator.cpp
@@ -14,6 +14,8 @@
 constexpr double drift_significance = 3;
 constexpr double change_significance = 5;
 constexpr double shift_threshold = 5;
+/// Deviations beyond chance at which a single report is believed.
+constexpr double jump_significance = 6;
 
 double measurement_variance(double share, double total)
 {
@@ -109,6 +111,10 @@
     double const margin =
         drift_significance * spread * std::sqrt(drift_gain / 2);
     drift_ = std::max(0.0, excess_ - margin);
+    // A load that has changed as a whole shows in one report.
+    double const chance = std::sqrt(2 / static_cast<double>(tokens.size()));
+    if (surplus > jump_significance * chance)
+        drift_ = std::max(drift_, excess / weight);
 }
 
 // Each expert counts alike here: the figure is then near normal, which large
--- a/test/placement/placement_test.cpp
+++ b/test/placement/placement_test.cpp
@@ -224,6 +224,39 @@
     CHECK(estimator.shares()[3] == Approx(counts[3] / total).epsilon(0.05));
 }
 
+// The start of a festival: the shares of all experts change by a fifth, none
+// so far that it stands out by itself.
+TEST_CASE("one report shows a load that has changed as a whole")
+{
+    constexpr std::size_t experts = 64;
+    constexpr double samples = 16384;
+    random_source random{20261203};
+    auto const report = [&](std::vector<double> const& shares)
+    {
+        std::vector<double> out;
+        for (double const share : shares)
+        {
+            double const mean = samples * share;
+            out.push_back(std::round(
+                mean + std::sqrt(mean) * 3.46 * (random.unit() - 0.5)));
+        }
+        return out;
+    };
+    std::vector<double> before(experts, 1.0 / experts);
+    std::vector<double> after;
+    for (std::size_t n = 0; n < experts; ++n)
+        after.push_back((n % 2 == 0 ? 0.8 : 1.2) / experts);
+    popularity_estimator estimator{experts};
+    for (int n = 0; n < 100; ++n)
+        estimator.update(report(before));
+    estimator.update(report(after));
+    double distance = 0;
+    for (std::size_t n = 0; n < experts; ++n)
+        distance += std::abs(estimator.shares()[n] - after[n]) / 2;
+    // The mean error of one report, and a tenth of the change.
+    CHECK(distance < 0.025 + 0.01);
+}
+
 TEST_CASE("a rank's speed changes only if reports agree")
 {
     struct row
