--- a/include/hornbeamweir/routing/routing_weights.hpp
+++ b/include/hornbeamweir/routing/routing_weights.hpp
@@ -23,9 +23,9 @@
     /// Share by which a backend server costs more after certain failure.
     double failure_penalty = 4;
     /// Share of the cost that a cached prefix saves.
-    double cached_discount = 0.2;
+    double cached_discount = 0.26;
     /// Share that the preferred place of an unknown prefix saves.
-    double preferred_discount = 0.15;
+    double preferred_discount = 0.24;
     /// Trust in a fresh report's differences between backend servers.
     double report_trust = 0.5;
     /// Age of a load report's sample when its agent sent it.
