Pass the duty on at SIGTERM; drop overtaken datagrams; measure map changes

Cause: an agent that coordinated a group and got SIGTERM ended at once, in the middle of a change, and its lease of 1.6 s had to lapse before another could clear up. Reports and loads that overtook each other on the way were taken in the order of their arrival. The metrics counted planned maps and orders only.

Ruled out: ending the lease (it would end the registration's as well, had both shared one); ordering orders by their sequence, as their fences decide.

Change: at SIGTERM the coordinator ends its change, removes its key on condition that it is still its own, and tells the others, who campaign at once. Each sender's loads, reports and beats are dropped if a newer one of the same kind has come. New metrics: maps switched, time by phase, moves, skew, datagrams dropped.

--- a/include/hornbeamweir/peers/datagram_link.hpp
+++ b/include/hornbeamweir/peers/datagram_link.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <hornbeamweir/peers/arrival_order.hpp>
+#include <hornbeamweir/telemetry/metrics_registry.hpp>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 
@@ -13,7 +16,8 @@
 
 /// \brief Exchanges datagrams with the system's other processes.
 /// \remarks Carries soft state only: what is lost is told again. Datagrams
-/// need no connection, which could go silent unnoticed.
+/// need no connection, which could go silent unnoticed. State that a newer
+/// datagram has overtaken is dropped.
 class datagram_link
 {
 public:
@@ -29,6 +33,7 @@
         std::string role,
         std::string sender,
         std::uint64_t incarnation,
+        metrics_registry& metrics,
         handler received);
     datagram_link(datagram_link const&) = delete;
     datagram_link& operator=(datagram_link const&) = delete;
@@ -37,11 +42,6 @@
     /// \brief Sends a datagram, with this process as its sender.
     void send(endpoint const& to, wire::datagram message);
 
-    [[nodiscard]] std::uint64_t undecodable() const noexcept
-    {
-        return undecodable_;
-    }
-
 private:
     static constexpr std::size_t max_size = std::size_t{60} * 1024;
 
@@ -53,7 +53,8 @@
     std::string sender_;
     std::uint64_t incarnation_;
     std::uint64_t sequence_ = 0;
-    std::uint64_t undecodable_ = 0;
+    arrival_order order_;
+    metrics_registry& metrics_;
     handler received_;
     endpoint from_;
     std::array<char, max_size> buffer_{};
--- a/include/hornbeamweir/peers/leadership.hpp
+++ b/include/hornbeamweir/peers/leadership.hpp
@@ -5,9 +5,6 @@
 #include <hornbeamweir/platform/platform.hpp>
 #include <hornbeamweir/telemetry/event_log.hpp>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-
 namespace hornbeamweir
 {
 
@@ -21,7 +18,6 @@
     using clock_function = time_point (*)() noexcept;
 
     leadership(
-        boost::asio::io_context& context,
         platform& service,
         event_log& log,
         clock_function clock,
@@ -49,9 +45,19 @@
     /// \brief Notes that another process holds the duty.
     void on_heard_leader();
 
+    /// \brief Notes that the holder has given the duty up.
+    void on_leader_left();
+
     /// \brief Gives the duty up, for a holder with a newer fence.
     void resign();
 
+    /// \brief Gives the duty up for good, so that another process takes it at
+    /// once.
+    void leave();
+
+    /// \brief Whether a call to the store is in progress.
+    [[nodiscard]] bool busy() const noexcept { return busy_; }
+
     /// \brief Whether the lease has certainly not lapsed.
     [[nodiscard]] bool leading() const;
 
@@ -84,6 +90,7 @@
     time_point valid_until_{};
     time_point next_action_{};
     bool busy_ = false;
+    bool left_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/daemon/group_coordination.cpp
+++ b/src/daemon/group_coordination.cpp
@@ -36,7 +36,6 @@
 } // namespace
 
 group_coordination::group_coordination(
-    boost::asio::io_context& context,
     platform& service,
     relay_codec const& records,
     event_log& log,
@@ -51,7 +50,7 @@
     , metrics_{metrics}
     , clock_{clock}
     , send_{std::move(send)}
-    , leadership_{context, service, log, clock, random, std::move(self)}
+    , leadership_{service, log, clock, random, std::move(self)}
     , coordinator_{log}
 {
 }
@@ -69,7 +68,10 @@
 {
     if (beat.group() != group_.str())
         return;
-    leadership_.on_heard_leader();
+    if (beat.left())
+        leadership_.on_leader_left();
+    else
+        leadership_.on_heard_leader();
 }
 
 void group_coordination::on_report(wire::rank_report const& report)
@@ -110,6 +112,25 @@
             {{"operation", std::string{name_of(order.operation)}}});
         send_(order);
     }
+    measure(now);
+}
+
+// Phases that begin and end within one call take no time worth measuring.
+void group_coordination::measure(time_point now)
+{
+    if (coordinator_.maps_switched() != switched_)
+    {
+        switched_ = coordinator_.maps_switched();
+        metrics_.count("hornbeamweir_maps_switched_total", {});
+    }
+    if (coordinator_.at() == phase_)
+        return;
+    metrics_.observe_seconds(
+        "hornbeamweir_map_phase_seconds",
+        {{"phase", std::string{name_of(phase_)}}},
+        std::chrono::duration<double>{now - phase_began_}.count());
+    phase_ = coordinator_.at();
+    phase_began_ = now;
 }
 
 void group_coordination::follow_duty()
@@ -137,21 +158,40 @@
     follow_duty();
     if (!coordinator_.leading())
         return;
+    if (leaving_ && coordinator_.at() == hold_coordinator::phase::idle)
+    {
+        leadership_.leave();
+        follow_duty();
+        return;
+    }
     time_point const now = clock_();
     duration const due = engine_ ? profile_interval : profile_retry;
     if (now - profile_read_ >= due)
         read_profile();
-    bool const may_plan =
-        now - planned_ >= plan_interval && coordinator_.ready_for_map(now);
+    bool const may_plan = !leaving_ && now - planned_ >= plan_interval &&
+                          coordinator_.ready_for_map(now);
     // The next coordinator has to know at whose rank a change may have ended.
     if (may_plan && !leadership_.recorded())
         leadership_.write_record(std::to_string(rank_));
     else if (
-        may_plan || (now - planned_ >= plan_interval && copies_outdated(now)))
+        may_plan ||
+        (!leaving_ && now - planned_ >= plan_interval && copies_outdated(now)))
         plan(now);
     send_due(now);
 }
 
+void group_coordination::leave()
+{
+    leaving_ = true;
+    if (!leadership_.leading())
+        leadership_.leave();
+}
+
+bool group_coordination::left() const
+{
+    return !leadership_.leading() && !leadership_.busy();
+}
+
 void group_coordination::read_profile()
 {
     profile_read_ = clock_();
@@ -231,6 +271,15 @@
         .with("moves", next->moves);
     log_.info(line);
     metrics_.count("hornbeamweir_maps_planned_total", {});
+    metrics_.count("hornbeamweir_map_moves_total", {}, next->moves);
+    metrics_.gauge(
+        "hornbeamweir_map_skew",
+        {{"map", "in_force"}},
+        next->before / static_cast<double>(current->size()));
+    metrics_.gauge(
+        "hornbeamweir_map_skew",
+        {{"map", "planned"}},
+        next->after / static_cast<double>(current->size()));
     coordinator_.start(std::move(next->experts), now);
 }
 
--- a/src/daemon/group_coordination.hpp
+++ b/src/daemon/group_coordination.hpp
@@ -19,7 +19,6 @@
 
     /// \param send Sends an order to a rank.
     group_coordination(
-        boost::asio::io_context& context,
         platform& service,
         relay_codec const& records,
         event_log& log,
@@ -42,6 +41,12 @@
 
     void on_tick();
 
+    /// \brief Ends the change in progress, and gives the duty up.
+    void leave();
+
+    /// \brief Whether nothing is left to do after leave().
+    [[nodiscard]] bool left() const;
+
     [[nodiscard]] bool leading() const { return coordinator_.leading(); }
     /// \brief Notes that a rank has accepted an order that was sent straight.
     void on_accepted(rank_order const& order)
@@ -78,6 +83,7 @@
     void read_replicas();
     void plan(time_point now);
     [[nodiscard]] bool copies_outdated(time_point now) const;
+    void measure(time_point now);
     [[nodiscard]] std::vector<double> paces() const;
     void send_due(time_point now);
 
@@ -100,6 +106,11 @@
     std::optional<engine_profile> engine_;
     time_point profile_read_{};
     time_point planned_{};
+    bool leaving_ = false;
+    /// Phase of the change as it was last measured.
+    hold_coordinator::phase phase_ = hold_coordinator::phase::idle;
+    time_point phase_began_{};
+    std::uint64_t switched_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/daemon/rank_agent_daemon.cpp
+++ b/src/daemon/rank_agent_daemon.cpp
@@ -27,6 +27,9 @@
 constexpr duration beat_interval = milliseconds{200};
 /// Time for which a coordinator that was heard is reported to.
 constexpr duration beat_validity = milliseconds{1500};
+/// A change of map and a call to the store take less; the platform kills
+/// after several seconds.
+constexpr duration leave_limit = std::chrono::seconds{3};
 constexpr unsigned ok = 200;
 constexpr unsigned begun = 202;
 constexpr unsigned precondition_failed = 412;
@@ -64,9 +67,9 @@
         , monitor_{rank_, log_, suspend_aware_now, settings_.rank_address, settings_.service, [this](rank_state const& state) { tell(state); }}
         , admin_{loop_.context(), settings_.metrics_address, metrics_, admin_pages{[this] { return monitor_.is_known(); }, [this] { return status(); }, {}}}
         , platform_{connect(loop_.context(), settings_.platform_address)}
-        , coordination_{loop_.context(), *platform_, records, log_, metrics_, suspend_aware_now, random_source{random_.next()}, settings_.name.str(), [this](rank_order const& order) { route_order(order); }}
+        , coordination_{*platform_, records, log_, metrics_, suspend_aware_now, random_source{random_.next()}, settings_.name.str(), [this](rank_order const& order) { route_order(order); }}
         , registry_{loop_.context(), *platform_, log_, std::string{agent_role}, settings_.name, udp_endpoint(settings_.peers_address)}
-        , link_{loop_.context(), udp_endpoint(settings_.peers_address), std::string{agent_role}, settings_.name.str(), random_.next(), [this](udp_address const& from, wire::datagram const& message) { on_datagram(from, message); }}
+        , link_{loop_.context(), udp_endpoint(settings_.peers_address), std::string{agent_role}, settings_.name.str(), random_.next(), metrics_, [this](udp_address const& from, wire::datagram const& message) { on_datagram(from, message); }}
     {
     }
 
@@ -79,9 +82,7 @@
         registry_.start();
         loop_.on_reload([this] { reload(); });
         loop_.run(
-            [this] { tick(); },
-            [this] { log_.info(event{"draining"}); },
-            [] { return true; });
+            [this] { tick(); }, [this] { drain(); }, [this] { return idle(); });
         log_.info(event{"stopped"});
     }
 
@@ -99,6 +100,27 @@
             read_silent(now);
     }
 
+    void drain()
+    {
+        drained_at_ = suspend_aware_now();
+        had_duty_ = coordination_.leading();
+        coordination_.leave();
+        event line{"draining"};
+        line.with("leading", had_duty_ ? "yes" : "no");
+        log_.info(line);
+    }
+
+    [[nodiscard]] bool idle()
+    {
+        time_point const now = suspend_aware_now();
+        if (!coordination_.left())
+            return now - drained_at_ >= leave_limit;
+        if (had_duty_)
+            send_beats(now, true);
+        had_duty_ = false;
+        return true;
+    }
+
     /// Whether a coordinator, here or elsewhere, wants reports.
     [[nodiscard]] bool reports_to(time_point now) const
     {
@@ -138,12 +160,13 @@
         link_.send(coordinator_, message);
     }
 
-    void send_beats(time_point now)
+    void send_beats(time_point now, bool left = false)
     {
         beat_at_ = now;
         wire::datagram message;
         message.mutable_beat()->set_group(coordination_.group().str());
         message.mutable_beat()->set_fence(coordination_.fence());
+        message.mutable_beat()->set_left(left);
         for (auto const& [name, at] : registry_.peers(std::string{agent_role}))
             link_.send(at, message);
     }
@@ -283,8 +306,11 @@
         {
             if (message.beat().group() != coordination_.group().str())
                 return;
-            coordinator_ = from;
-            beat_heard_ = now;
+            if (!message.beat().left())
+            {
+                coordinator_ = from;
+                beat_heard_ = now;
+            }
             coordination_.on_beat(message.beat());
         }
         else if (message.has_report())
@@ -345,6 +371,8 @@
     time_point told_entries_{};
     time_point beat_at_{};
     time_point silent_at_{};
+    time_point drained_at_{};
+    bool had_duty_ = false;
 };
 
 rank_agent_daemon::rank_agent_daemon(
--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -107,7 +107,7 @@
         , routes_{loop_.context(), *platform_, *platform_, codec_, log_, suspend_aware_now, [this](route_configuration next, time_point as_of) { take(std::move(next), as_of); }, [this](time_point as_of) { core_.routes().confirm(as_of); }}
         , replicas_{loop_.context(), *platform_, codec_, log_, [this](replica_feed::snapshot snapshot) { take(std::move(snapshot)); }}
         , registry_{loop_.context(), *platform_, log_, std::string{entry_role}, settings_.name, udp_endpoint(settings_.peers_address)}
-        , link_{loop_.context(), udp_endpoint(settings_.peers_address), std::string{entry_role}, settings_.name.str(), random_.next(), [this](boost::asio::ip::udp::endpoint const& from, wire::datagram const& message) { on_datagram(from, message); }}
+        , link_{loop_.context(), udp_endpoint(settings_.peers_address), std::string{entry_role}, settings_.name.str(), random_.next(), metrics_, [this](boost::asio::ip::udp::endpoint const& from, wire::datagram const& message) { on_datagram(from, message); }}
     {
     }
 
--- a/src/peers/datagram_link.cpp
+++ b/src/peers/datagram_link.cpp
@@ -9,11 +9,13 @@
     std::string role,
     std::string sender,
     std::uint64_t incarnation,
+    metrics_registry& metrics,
     handler received)
     : socket_{context, local}
     , role_{std::move(role)}
     , sender_{std::move(sender)}
     , incarnation_{incarnation}
+    , metrics_{metrics}
     , received_{std::move(received)}
 {
     socket_.non_blocking(true);
@@ -52,10 +54,16 @@
     wire::datagram message;
     if (!message.ParseFromArray(buffer_.data(), static_cast<int>(size)))
     {
-        ++undecodable_;
+        metrics_.count(
+            "hornbeamweir_datagrams_dropped_total",
+            {{"reason", "undecodable"}});
         return;
     }
-    received_(from_, message);
+    if (order_.is_newest(message))
+        received_(from_, message);
+    else
+        metrics_.count(
+            "hornbeamweir_datagrams_dropped_total", {{"reason", "overtaken"}});
 }
 
 } // namespace hornbeamweir
--- a/src/peers/leadership.cpp
+++ b/src/peers/leadership.cpp
@@ -25,7 +25,6 @@
 } // namespace
 
 leadership::leadership(
-    boost::asio::io_context&,
     platform& service,
     event_log& log,
     clock_function clock,
@@ -61,6 +60,12 @@
         wait(silence);
 }
 
+void leadership::on_leader_left()
+{
+    if (!leading())
+        wait({});
+}
+
 void leadership::resign()
 {
     if (leading())
@@ -73,6 +78,39 @@
     wait(campaign_interval);
 }
 
+// The holder's key bears the fence as its revision, so that a later holder's is
+// not removed.
+void leadership::leave()
+{
+    if (left_)
+        return;
+    left_ = true;
+    bool const held = leading();
+    valid_until_ = {};
+    if (!held)
+        return;
+    busy_ = true;
+    std::string const holder_key = key_ + std::string{holder_part};
+    transaction remove;
+    remove.conditions.push_back(
+        {holder_key, static_cast<std::int64_t>(fence_)});
+    remove.writes.push_back({holder_key, std::nullopt, 0});
+    platform_.commit(
+        std::move(remove),
+        [this,
+         weak = std::weak_ptr{alive_}](result<transaction_reply> const& reply)
+        {
+            if (weak.expired())
+                return;
+            busy_ = false;
+            event line{"duty_left"};
+            line.with("key", key_)
+                .with("fence", fence_)
+                .with("removed", reply && reply->succeeded ? "yes" : "no");
+            log_.info(line);
+        });
+}
+
 bool leadership::leading() const
 {
     return clock_() < valid_until_;
@@ -80,7 +118,7 @@
 
 void leadership::on_tick()
 {
-    if (busy_ || key_.empty() || clock_() < next_action_)
+    if (left_ || busy_ || key_.empty() || clock_() < next_action_)
         return;
     if (leading())
         keep();
@@ -127,7 +165,7 @@
 
 void leadership::on_granted(result<std::int64_t> const& lease, time_point asked)
 {
-    if (!lease)
+    if (!lease || left_)
     {
         busy_ = false;
         wait(campaign_interval);
@@ -155,7 +193,8 @@
 {
     busy_ = false;
     wait(campaign_interval);
-    if (!reply || !reply->succeeded)
+    // Whoever left while it took the duty lets the lease lapse.
+    if (!reply || !reply->succeeded || left_)
         return;
     fence_ = static_cast<std::uint64_t>(reply->revision);
     recorded_ = false;
