--- a/test/expert_map/hold_coordinator_test.cpp
+++ b/test/expert_map/hold_coordinator_test.cpp
@@ -17,10 +17,10 @@
 {
     held_group group{1, {}};
     group.run(quiet);
-    CHECK(group.mixed_passes == 0);
+    CHECK(group.engines().mixed_passes() == 0);
     CHECK(group.switches > 30);
     // Held passes cost less than one in five.
-    CHECK(group.passes > 320);
+    CHECK(group.engines().passes() > 320);
 }
 
 TEST_CASE("no pass mixes maps and none stays held", "[hold]")
@@ -65,14 +65,14 @@
                         *rc::gen::arbitrary<std::uint64_t>();
                     held_group group{seed, it.faults};
                     group.run(std::chrono::seconds{30});
-                    RC_ASSERT(group.mixed_passes == 0U);
+                    RC_ASSERT(group.engines().mixed_passes() == 0U);
                     group.heal();
                     group.run(std::chrono::seconds{20});
-                    std::uint64_t const passes = group.passes;
+                    std::uint64_t const passes = group.engines().passes();
                     std::uint64_t const switches = group.switches;
                     group.run(std::chrono::seconds{10});
-                    RC_ASSERT(group.mixed_passes == 0U);
-                    RC_ASSERT(group.passes > passes + 100);
+                    RC_ASSERT(group.engines().mixed_passes() == 0U);
+                    RC_ASSERT(group.engines().passes() > passes + 100);
                     RC_ASSERT(group.switches > switches + 5);
                 });
         }
--- /dev/null
+++ b/test/support/engine_group.cpp
@@ -0,0 +1,197 @@
+#include "engine_group.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace test
+{
+
+using namespace hornbeamweir;
+
+engine_group::engine_group(
+    std::uint32_t ranks, duration copy_time, duration form_time)
+    : copy_time_{copy_time}
+    , form_time_{form_time}
+    , ranks_(ranks)
+{
+    for (std::uint32_t n = 0; n < ranks; ++n)
+    {
+        rank_state& it = ranks_[n].state;
+        it.group = model_group_id{"g"};
+        it.epoch = 1;
+        it.rank = n;
+        it.ranks = ranks;
+        it.open = true;
+        it.start = 1;
+        it.active = 1;
+    }
+}
+
+void engine_group::set_first_map(group_experts const& mapping)
+{
+    rank_order order;
+    order.mapping = mapping;
+    for (engine& it : ranks_)
+        keep(order, it);
+}
+
+rank_experts
+engine_group::experts(std::uint32_t number, std::uint64_t version) const
+{
+    auto const it = ranks_[number].maps.find(version);
+    return it == ranks_[number].maps.end() ? rank_experts{} : it->second;
+}
+
+void engine_group::keep(rank_order const& order, engine& at)
+{
+    rank_experts& held = at.maps[order.version];
+    held.clear();
+    for (rank_experts const& set : order.mapping)
+        held.push_back(set.at(at.state.rank));
+}
+
+void engine_group::advance(time_point now)
+{
+    for (engine& it : ranks_)
+    {
+        if (it.copying_version != 0 && now >= it.copied_at)
+        {
+            it.state.prepared_version = it.copying_version;
+            it.copying_version = 0;
+        }
+        it.state.open = now >= forms_at_;
+    }
+}
+
+void engine_group::begin_pass(time_point now)
+{
+    bool const held = std::any_of(
+        ranks_.begin(),
+        ranks_.end(),
+        [&](engine const& it) { return it.state.held_step == step_ + 1; });
+    if (held || now < forms_at_)
+        return;
+    ++step_;
+    std::set<std::uint64_t> versions;
+    for (engine& it : ranks_)
+    {
+        it.state.step = step_;
+        if (it.state.armed_version != 0 && it.state.armed_step == step_)
+        {
+            it.state.map_version = it.state.armed_version;
+            it.state.armed_version = 0;
+        }
+        versions.insert(it.state.map_version);
+    }
+    mixed_ += versions.size() > 1 ? 1 : 0;
+}
+
+void engine_group::restart(std::uint32_t number, time_point now)
+{
+    std::uint64_t const epoch = ranks_.front().state.epoch + 1;
+    forms_at_ = now + form_time_;
+    for (engine& it : ranks_)
+    {
+        engine fresh;
+        fresh.state.group = it.state.group;
+        fresh.state.epoch = epoch;
+        fresh.state.rank = it.state.rank;
+        fresh.state.ranks = it.state.ranks;
+        fresh.state.start = it.state.start;
+        fresh.state.orders = it.state.orders;
+        fresh.state.step = step_;
+        fresh.state.active = 1;
+        fresh.maps[0] = it.maps[0];
+        if (it.state.rank == number)
+        {
+            ++fresh.state.start;
+            fresh.state.orders = 0;
+        }
+        it = std::move(fresh);
+    }
+}
+
+bool engine_group::carry_out(rank_order const& order, time_point now)
+{
+    engine& it = ranks_.at(order.rank);
+    rank_state& state = it.state;
+    if (order.epoch != state.epoch)
+        return false;
+    if (check_fences_ && order.fence < it.newest_fence)
+        return false;
+    it.newest_fence = std::max(it.newest_fence, order.fence);
+    switch (order.operation)
+    {
+    case rank_operation::prepare:
+        return prepare(order, now);
+    case rank_operation::arm:
+        return arm(order);
+    case rank_operation::disarm:
+        if (state.armed_version == order.version)
+            state.armed_version = 0;
+        return true;
+    case rank_operation::hold:
+        return hold(order);
+    case rank_operation::release:
+        if (state.held_step == order.step)
+            state.held_step.reset();
+        return true;
+    }
+    return false;
+}
+
+bool engine_group::prepare(rank_order const& order, time_point now)
+{
+    engine& it = ranks_[order.rank];
+    bool const armed = it.state.armed_version != 0;
+    if (armed || order.version < it.newest_version)
+        return false;
+    it.state.accepted_version = order.version;
+    if (order.version == it.newest_version)
+        return true;
+    it.newest_version = order.version;
+    it.copying_version = order.version;
+    it.copied_at = now + copy_time_;
+    it.state.prepared_version = 0;
+    keep(order, it);
+    return true;
+}
+
+bool engine_group::arm(rank_order const& order)
+{
+    rank_state& state = ranks_[order.rank].state;
+    if (state.prepared_version != order.version || order.step <= step_)
+        return false;
+    state.armed_version = order.version;
+    state.armed_step = order.step;
+    return true;
+}
+
+bool engine_group::hold(rank_order const& order)
+{
+    rank_state& state = ranks_[order.rank].state;
+    bool const holds_another =
+        state.held_step && *state.held_step != order.step;
+    if (order.step <= step_ || holds_another)
+        return false;
+    state.held_step = order.step;
+    return true;
+}
+
+bool engine_group::is_held() const
+{
+    return std::any_of(
+        ranks_.begin(),
+        ranks_.end(),
+        [](engine const& it) { return it.state.held_step.has_value(); });
+}
+
+bool engine_group::is_armed() const
+{
+    return std::any_of(
+        ranks_.begin(),
+        ranks_.end(),
+        [](engine const& it) { return it.state.armed_version != 0; });
+}
+
+} // namespace test
--- a/test/support/held_group.cpp
+++ b/test/support/held_group.cpp
@@ -22,19 +22,10 @@
 held_group::held_group(std::uint64_t seed, held_group_faults const& faults)
     : random_{seed}
     , faults_{faults}
+    , engines_{ranks, copy_time, form_time}
     , processes_{process{log_}, process{log_}}
 {
-    for (std::uint32_t n = 0; n < ranks; ++n)
-    {
-        rank_state& it = ranks_[n].state;
-        it.group = model_group_id{"g"};
-        it.epoch = 1;
-        it.rank = n;
-        it.ranks = ranks;
-        it.open = true;
-        it.start = 1;
-        it.active = 1;
-    }
+    engines_.check_fences(faults.engines_check_fences);
     processes_[0].home = 0;
     processes_[1].home = 2;
 }
@@ -69,7 +60,7 @@
 void held_group::heal()
 {
     faults_ = {};
-    faults_.engines_check_fences = true;
+    engines_.check_fences(true);
     working_ = true;
 }
 
@@ -84,18 +75,15 @@
     if (faults_.idle_times && chance(0.002))
         working_ = !working_;
     if (faults_.restarted_ranks && chance(0.0004))
-        restart_rank(static_cast<std::uint32_t>(random_.below(ranks)));
-    for (rank& it : ranks_)
+        engines_.restart(
+            static_cast<std::uint32_t>(random_.below(ranks)), now_);
+    engines_.advance(now_);
+    if (now_ >= next_pass_)
     {
-        if (it.copying_version != 0 && now_ >= it.copied_at)
-        {
-            it.state.prepared_version = it.copying_version;
-            it.copying_version = 0;
-        }
-        it.state.open = now_ >= forms_at_;
+        next_pass_ = now_ + pass_time;
+        if (working_)
+            engines_.begin_pass(now_);
     }
-    if (now_ >= next_pass_)
-        begin_pass();
     if (now_ >= next_report_)
     {
         next_report_ = now_ + report_interval;
@@ -105,101 +93,6 @@
     run_processes();
 }
 
-void held_group::begin_pass()
-{
-    next_pass_ = now_ + pass_time;
-    if (!working_ || now_ < forms_at_)
-        return;
-    for (rank const& it : ranks_)
-    {
-        if (it.state.held_step == step_ + 1)
-            return;
-    }
-    ++step_;
-    ++passes;
-    std::set<std::uint64_t> versions;
-    for (rank& it : ranks_)
-    {
-        it.state.step = step_;
-        if (it.state.armed_version != 0 && it.state.armed_step == step_)
-        {
-            it.state.map_version = it.state.armed_version;
-            it.state.armed_version = 0;
-        }
-        versions.insert(it.state.map_version);
-    }
-    mixed_passes += versions.size() > 1 ? 1 : 0;
-}
-
-void held_group::restart_rank(std::uint32_t number)
-{
-    ranks_[number].state.start += 1;
-    std::uint64_t const epoch = ranks_[0].state.epoch + 1;
-    forms_at_ = now_ + form_time;
-    for (rank& it : ranks_)
-    {
-        std::uint64_t const start = it.state.start;
-        std::uint32_t const place = it.state.rank;
-        std::uint64_t const orders = place == number ? 0 : it.state.orders;
-        it = {};
-        it.state.group = model_group_id{"g"};
-        it.state.epoch = epoch;
-        it.state.rank = place;
-        it.state.ranks = ranks;
-        it.state.start = start;
-        it.state.orders = orders;
-        it.state.step = step_;
-        it.state.active = 1;
-    }
-}
-
-// What the platform's pages say of each order.
-bool held_group::carry_out(rank_order const& order)
-{
-    rank& it = ranks_[order.rank];
-    rank_state& state = it.state;
-    if (order.epoch != state.epoch)
-        return false;
-    if (faults_.engines_check_fences && order.fence < it.newest_fence)
-        return false;
-    it.newest_fence = std::max(it.newest_fence, order.fence);
-    bool const armed = state.armed_version != 0;
-    switch (order.operation)
-    {
-    case rank_operation::prepare:
-        if (order.version == it.newest_version && !armed)
-            return true;
-        if (armed || order.version < it.newest_version)
-            return false;
-        it.newest_version = order.version;
-        it.copying_version = order.version;
-        it.copied_at = now_ + copy_time;
-        state.prepared_version = 0;
-        return true;
-    case rank_operation::arm:
-        if (state.prepared_version != order.version || order.step <= step_)
-            return false;
-        state.armed_version = order.version;
-        state.armed_step = order.step;
-        return true;
-    case rank_operation::disarm:
-        if (state.armed_version == order.version)
-            state.armed_version = 0;
-        return true;
-    case rank_operation::hold:
-        if (order.step <= step_ ||
-            (state.held_step && *state.held_step != order.step))
-            return false;
-        state.held_step = order.step;
-        return true;
-    case rank_operation::release:
-        if (state.held_step == order.step)
-            state.held_step.reset();
-        return true;
-    }
-    return false;
-}
-
 void held_group::deliver(rank_order const& order)
 {
     if (!reachable(order.rank))
@@ -207,9 +100,7 @@
         later(milliseconds{100}, [this, order] { deliver(order); });
         return;
     }
-    bool const accepted = carry_out(order);
-    if (accepted && order.operation == rank_operation::prepare)
-        ranks_[order.rank].state.accepted_version = order.version;
+    static_cast<void>(engines_.carry_out(order, now_));
     report(order.rank);
 }
 
@@ -235,7 +126,7 @@
 {
     if (!reachable(number) || chance(faults_.lost_reports))
         return;
-    rank_state const state = ranks_[number].state;
+    rank_state const state = engines_.state(number);
     later(
         milliseconds{1 + static_cast<std::int64_t>(random_.below(5))},
         [this, state]
@@ -321,24 +212,4 @@
                processes_[1].coordinator.maps_switched();
 }
 
-bool held_group::is_held() const
-{
-    for (rank const& it : ranks_)
-    {
-        if (it.state.held_step)
-            return true;
-    }
-    return false;
-}
-
-bool held_group::is_armed() const
-{
-    for (rank const& it : ranks_)
-    {
-        if (it.state.armed_version != 0)
-            return true;
-    }
-    return false;
-}
-
 } // namespace test
--- a/test/support/held_group.hpp
+++ b/test/support/held_group.hpp
@@ -3,9 +3,10 @@
 #include <hornbeamweir/core/random_source.hpp>
 #include <hornbeamweir/expert_map/hold_coordinator.hpp>
 
+#include "engine_group.hpp"
+
 #include <array>
 #include <functional>
-#include <set>
 
 namespace test
 {
@@ -41,24 +42,13 @@
     /// \brief Ends all faults and lets the group work on.
     void heal();
 
-    /// Passes that began while ranks had different maps.
-    std::uint64_t mixed_passes = 0;
-    std::uint64_t passes = 0;
+    [[nodiscard]] engine_group const& engines() const noexcept
+    {
+        return engines_;
+    }
     std::uint64_t switches = 0;
 
-    [[nodiscard]] bool is_held() const;
-    [[nodiscard]] bool is_armed() const;
-
 private:
-    struct rank
-    {
-        hornbeamweir::rank_state state;
-        std::uint64_t newest_version = 0;
-        std::uint64_t newest_fence = 0;
-        std::uint64_t copying_version = 0;
-        hornbeamweir::time_point copied_at{};
-    };
-
     struct process
     {
         explicit process(hornbeamweir::event_log& log)
@@ -72,21 +62,12 @@
         hornbeamweir::time_point lease_until{};
     };
 
-    struct delivery
-    {
-        hornbeamweir::time_point at{};
-        std::function<void()> act;
-    };
-
     void step();
     void run_processes();
     void elect();
     void send(process& from, hornbeamweir::rank_order const& order);
     void deliver(hornbeamweir::rank_order const& order);
-    [[nodiscard]] bool carry_out(hornbeamweir::rank_order const& order);
     void report(std::uint32_t number);
-    void begin_pass();
-    void restart_rank(std::uint32_t number);
     void later(hornbeamweir::duration delay, std::function<void()> act);
     [[nodiscard]] bool chance(double probability);
     [[nodiscard]] bool reachable(std::uint32_t number) const;
@@ -96,14 +77,12 @@
     hornbeamweir::random_source random_;
     held_group_faults faults_;
     hornbeamweir::time_point now_{std::chrono::seconds{100}};
-    std::array<rank, ranks> ranks_;
+    engine_group engines_;
     std::array<process, 2> processes_;
     std::multimap<hornbeamweir::time_point, std::function<void()>> pending_;
     std::uint64_t fence_ = 0;
     std::optional<std::uint32_t> last_home_;
-    std::uint64_t step_ = 0;
     hornbeamweir::time_point next_pass_{};
-    hornbeamweir::time_point forms_at_{};
     hornbeamweir::time_point next_report_{};
     bool working_ = true;
 };
