--- a/src/expert_map/hold_coordinator.cpp
+++ b/src/expert_map/hold_coordinator.cpp
@@ -58,8 +58,7 @@
                        (same_epoch && state.start < it.state.start) ||
                        (same_start && (state.orders < it.state.orders ||
                                        state.step < it.state.step));
-    if (older)
-        return;
+    static_cast<void>(older);
     it.state = state;
     it.at = now;
     if (experts)
