Restore the check that a report was overtaken

Change: the guard is back. The new case "a report that was overtaken changes nothing" fails without it.

--- a/src/expert_map/hold_coordinator.cpp
+++ b/src/expert_map/hold_coordinator.cpp
@@ -58,7 +58,8 @@
                        (same_epoch && state.start < it.state.start) ||
                        (same_start && (state.orders < it.state.orders ||
                                        state.step < it.state.step));
-    static_cast<void>(older);
+    if (older)
+        return;
     it.state = state;
     it.at = now;
     if (experts)
