Report choices of experts since the last report

Cause: ranks told their cumulative choices each 100 ms, 2016 numbers of two to three bytes at the grown sites: 63 ranks send some 30 Mbit/s to a coordinator whose link carries 8.

Change: a report has the choices since the one before, mostly one byte each; a lost report takes its own along. Where all ranks' choices would take more than 30 KB in 100 ms, every n-th rank tells its own.

At the standard sites all ranks tell theirs, as before.

--- a/src/daemon/group_coordination.cpp
+++ b/src/daemon/group_coordination.cpp
@@ -82,14 +82,7 @@
     addresses_[report.rank()] = report.address();
     paces_[report.rank()] = report.pace();
     coordinator_.on_report(from_wire(report), experts_of(report), now);
-    if (report.counts_size() > 0)
-    {
-        choice_counts counts;
-        counts.epoch = report.epoch();
-        counts.start = report.start();
-        counts.counts.assign(report.counts().begin(), report.counts().end());
-        planner_.on_counts(report.rank(), counts, now);
-    }
+    add_choices(report, now);
     if (report.fenced() && coordinator_.leading())
         leadership_.resign();
     // A switch takes several rounds of orders; waiting for ticks would add
@@ -98,6 +91,27 @@
         send_due(now);
 }
 
+void group_coordination::add_choices(
+    wire::rank_report const& report, time_point now)
+{
+    std::size_t const size = static_cast<std::size_t>(report.choices_size());
+    if (size == 0)
+        return;
+    choice_counts& it = choices_[report.rank()];
+    bool const follows = it.epoch == report.epoch() &&
+                         it.start == report.start() && it.counts.size() == size;
+    if (!follows)
+    {
+        it.epoch = report.epoch();
+        it.start = report.start();
+        it.counts.assign(size, 0);
+        planner_.on_counts(report.rank(), it, now);
+    }
+    for (std::size_t n = 0; n < size; ++n)
+        it.counts[n] += report.choices(static_cast<int>(n));
+    planner_.on_counts(report.rank(), it, now);
+}
+
 // A process that wakes from a suspension finds its lease lapsed here, before
 // it orders anything.
 void group_coordination::send_due(time_point now)
--- a/src/daemon/group_coordination.hpp
+++ b/src/daemon/group_coordination.hpp
@@ -84,6 +84,7 @@
     void plan(time_point now);
     [[nodiscard]] bool copies_outdated(time_point now) const;
     void measure(time_point now);
+    void add_choices(wire::rank_report const& report, time_point now);
     [[nodiscard]] std::vector<double> paces() const;
     void send_due(time_point now);
 
@@ -107,6 +108,8 @@
     time_point profile_read_{};
     time_point planned_{};
     bool leaving_ = false;
+    /// Choices that were reported, by rank, since its first report.
+    std::map<std::uint32_t, choice_counts> choices_;
     /// Phase of the change as it was last measured.
     hold_coordinator::phase phase_ = hold_coordinator::phase::idle;
     time_point phase_began_{};
--- a/src/daemon/rank_monitor.cpp
+++ b/src/daemon/rank_monitor.cpp
@@ -13,6 +13,11 @@
 /// A change of map waits for each rank's next report.
 constexpr duration change_state_interval = milliseconds{20};
 constexpr duration choices_interval = milliseconds{100};
+/// Bytes of choices that a coordinator gets in that time, less than a third
+/// of a link of 8 Mbit/s. Where all ranks have more to tell, some tell theirs.
+constexpr std::size_t choices_budget = std::size_t{30} * 1000;
+/// Most numbers are below 128; some take a second byte.
+constexpr double bytes_per_choice = 1.2;
 /// The longest pass of a working group takes some hundred milliseconds.
 constexpr duration stall_limit = milliseconds{900};
 constexpr duration load_log_interval = std::chrono::seconds{1};
@@ -42,10 +47,21 @@
         changes_map() ? change_state_interval : state_interval;
     if (now - state_at_ >= interval && !reading_state_)
         read_state();
-    if (choices && now - choices_at_ >= choices_interval)
+    if (choices && tells_choices() && now - choices_at_ >= choices_interval)
         read_choices();
 }
 
+bool rank_monitor::tells_choices() const
+{
+    if (!known_ || !choices_)
+        return known_.has_value();
+    double const bytes = bytes_per_choice * known_->ranks *
+                         static_cast<double>(choices_->counts.size());
+    std::uint32_t const every =
+        1 + static_cast<std::uint32_t>(bytes / choices_budget);
+    return known_->rank % every == 0;
+}
+
 // Engines go on naming the last map that a rank was armed for.
 bool rank_monitor::changes_map() const
 {
@@ -175,11 +191,35 @@
         address_,
         [this](result<choice_counts> const& counts)
         {
-            if (counts && known_)
-                choices_ = *counts;
+            if (!counts || !known_)
+                return;
+            add_choices(*counts);
         });
 }
 
+// Numbers since the last report are small, where those since the rank's start
+// grow over the day.
+void rank_monitor::add_choices(choice_counts const& counts)
+{
+    std::size_t const size = counts.counts.size();
+    bool const follows = choices_ && choices_->epoch == counts.epoch &&
+                         choices_->start == counts.start &&
+                         choices_->counts.size() == size;
+    if (follows)
+    {
+        new_choices_.resize(size, 0);
+        for (std::size_t n = 0; n < size; ++n)
+        {
+            std::uint64_t const before = choices_->counts[n];
+            new_choices_[n] += static_cast<std::uint32_t>(
+                counts.counts[n] - std::min(before, counts.counts[n]));
+        }
+    }
+    else
+        new_choices_.clear();
+    choices_ = counts;
+}
+
 wire::rank_report rank_monitor::report_of(rank_state const& state) const
 {
     wire::rank_report out = to_wire(state);
@@ -196,9 +236,8 @@
         add_experts(*experts_, out);
     if (choices_ && choices_->epoch == state.epoch)
     {
-        out.mutable_counts()->Assign(
-            choices_->counts.begin(), choices_->counts.end());
-        choices_.reset();
+        out.mutable_choices()->Assign(new_choices_.begin(), new_choices_.end());
+        new_choices_.clear();
     }
     return out;
 }
--- a/src/daemon/rank_monitor.hpp
+++ b/src/daemon/rank_monitor.hpp
@@ -54,7 +54,10 @@
     void note_passes(rank_state const& state);
     void read_experts();
     void read_choices();
+    void add_choices(choice_counts const& counts);
     [[nodiscard]] bool changes_map() const;
+    /// Whether this rank is among those that tell their choices.
+    [[nodiscard]] bool tells_choices() const;
     [[nodiscard]] bool knows_experts(rank_state const& state) const;
 
     rank_client& client_;
@@ -68,6 +71,8 @@
     std::uint64_t experts_epoch_ = 0;
     std::uint64_t experts_version_ = 0;
     std::optional<choice_counts> choices_;
+    /// Choices that were not reported yet, by set and expert.
+    std::vector<std::uint32_t> new_choices_;
     std::uint64_t accepted_version_ = 0;
     std::uint64_t last_step_ = 0;
     time_point stepped_at_{};
