Judge the gain of a map free of the group's size

Cause: a plan had to reduce the mean skew by 0.015 for each copied expert. That was measured with 12 ranks and 4 sets; with 63 ranks and 8 sets a copy reduces the mean by a tenth of that, and costs a tenth of what the group earns.

Change: the reduction is counted for an expert that each rank copies in each set: 0.72, which is the old bound at 12 ranks and 4 sets.

The new test failed first for 63 ranks and 8 sets, and holds for 12 and 4.

--- a/src/expert_map/map_planner.cpp
+++ b/src/expert_map/map_planner.cpp
@@ -28,10 +28,11 @@
 /// Relative reduction of the time for experts that a map must bring: passes
 /// take 15 % longer while experts are copied.
 constexpr double least_gain = 0.06;
-/// Reduction of the skew that each copied expert must bring, on average. A
-/// change of demand brings 0.05 and more; what is left after it 0.003, which
-/// no caller notices.
-constexpr double least_gain_per_move = 0.015;
+/// Reduction of the skew that copies must bring for each expert that a rank
+/// copies, as a mean over ranks and sets: both what a copy costs and what it
+/// brings to the group grow with their number. A change of demand brings 2.4
+/// and more; what is left after it 0.15, which no caller notices.
+constexpr double least_gain_per_copy = 0.72;
 /// Time for which a map is worth its gain; by then the next one can be there.
 constexpr double horizon_s = 1.5;
 /// Time for the switch itself: orders, and the wait for the held pass.
@@ -197,10 +198,12 @@
         double const gain = next->before - next->after;
         double const left =
             horizon_s - switch_s - copy_time(current, next->experts, engine);
-        double const per_move = gain / static_cast<double>(current.size()) /
+        // Gain and copies are both sums over the sets.
+        double const per_copy = gain *
+                                static_cast<double>(current.front().size()) /
                                 std::max(1.0, static_cast<double>(next->moves));
         if (gain < least_gain * next->before ||
-            per_move < least_gain_per_move || gain * left <= best_value)
+            per_copy < least_gain_per_copy || gain * left <= best_value)
             continue;
         best_value = gain * left;
         best = std::move(next);
--- a/test/expert_map/map_planner_test.cpp
+++ b/test/expert_map/map_planner_test.cpp
@@ -167,6 +167,52 @@
     CHECK(as_new.before < 1.6);
 }
 
+// In a large group a copy reduces the mean skew by less, and costs a smaller
+// part of what the group earns.
+TEST_CASE("maps are planned for groups of any size", "[planner]")
+{
+    struct row
+    {
+        std::uint32_t ranks;
+        std::uint32_t sets;
+        /// Choices of each expert of the first three ranks; 800 of others.
+        std::uint64_t hot;
+    };
+    constexpr std::array<row, 2> rows{{{12, 4, 1600}, {63, 8, 1150}}};
+    constexpr std::uint32_t experts_per_rank = 4;
+    for (row const& it : rows)
+    {
+        CAPTURE(it.ranks, it.sets);
+        std::uint32_t const size = it.ranks * experts_per_rank;
+        engine_profile profile = engine();
+        profile.expert_sets = it.sets;
+        profile.experts = size;
+        profile.slots_per_rank = experts_per_rank + 1;
+        std::vector<std::vector<std::uint16_t>> held(it.ranks);
+        choice_counts counts{1, 1, {}};
+        for (std::uint32_t n = 0; n < it.sets * size; ++n)
+        {
+            std::uint32_t const rank = n % it.ranks;
+            counts.counts.push_back(rank < 3 ? it.hot : 800);
+            if (n < size)
+                held[rank].push_back(static_cast<std::uint16_t>(n));
+        }
+        group_experts const current(it.sets, held);
+        map_planner planner;
+        time_point now{std::chrono::seconds{100}};
+        for (std::uint64_t k = 1; k < 10; ++k)
+        {
+            choice_counts so_far = counts;
+            for (std::uint64_t& n : so_far.counts)
+                n *= k;
+            planner.on_counts(0, so_far, now);
+            now += milliseconds{100};
+        }
+        std::vector<double> const paces(it.ranks, 1.0);
+        CHECK(planner.plan(current, profile, paces, now));
+    }
+}
+
 TEST_CASE("a balanced group is left alone", "[planner]")
 {
     demand_feed feed;
