--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -209,6 +209,11 @@
         std::optional<refusal_reason> reason,
         time_point now,
         actions& out);
+    /// Refuses a request that may not be sent, as resolve() found.
+    void reject(
+        record_iterator it, verdict const& found, time_point now, actions& out);
+    /// Refuses a request for which no replica is there.
+    void reject_for_outage(record_iterator it, time_point now, actions& out);
     void cut_off(
         record_iterator it,
         std::string const& reason,
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -11,6 +11,7 @@
 
 #include "admin_endpoint.hpp"
 #include "daemon_loop.hpp"
+#include "unread_request.hpp"
 
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
@@ -32,18 +33,6 @@
     return limits;
 }
 
-void write_refusal(http_exchange& exchange, result_code code)
-{
-    error_document document = make_error_document(
-        request_id{"none"},
-        {code, "the request could not be read"},
-        execution_state::not_run,
-        std::nullopt);
-    exchange.send_head(document.status, document.headers);
-    exchange.send_data(std::move(document.body));
-    exchange.finish();
-}
-
 } // namespace
 
 class entry_daemon::impl
@@ -60,7 +49,7 @@
         , watcher_{loop_.context(), platform_, [this](configuration_head const& head) { core_.on_platform_head(head, process_clock::now()); flush(); }}
         , vms_{loop_.context(), platform_, [this](vm_list const& list) { core_.on_vm_list(list); flush(); }}
         , messages_{loop_.context(), settings_.messages, settings_.identity.name, incarnation_, [this](peer const& from, wire::envelope const& message) { core_.on_message(from, message, process_clock::now()); flush(); }}
-        , callers_{loop_.context(), settings_.callers.address, limits_of(settings_.callers), [this](std::shared_ptr<http_exchange> exchange, http_request_message request) { on_request(std::move(exchange), std::move(request)); }, write_refusal}
+        , callers_{loop_.context(), settings_.callers.address, limits_of(settings_.callers), [this](std::shared_ptr<http_exchange> exchange, http_request_message request) { on_request(std::move(exchange), std::move(request)); }, refuse_unread}
         , admin_{loop_.context(), settings_.admin_address, metrics_, make_admin_pages()}
     {
     }
--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -1,7 +1,6 @@
 #include <hornbeamweir/core/socket_address.hpp>
 #include <hornbeamweir/core/suspend_clock.hpp>
 #include <hornbeamweir/daemon/relay_daemon.hpp>
-#include <hornbeamweir/entry/error_document.hpp>
 #include <hornbeamweir/peers/datagram_link.hpp>
 #include <hornbeamweir/peers/peer_registry.hpp>
 #include <hornbeamweir/replicas/replica_feed.hpp>
@@ -11,6 +10,7 @@
 #include "admin_endpoint.hpp"
 #include "daemon_loop.hpp"
 #include "relay_exchanges.hpp"
+#include "unread_request.hpp"
 
 #include <boost/json/serialize.hpp>
 
@@ -71,18 +71,6 @@
               : boost::asio::ip::udp::endpoint{};
 }
 
-void write_refusal(http_exchange& exchange, result_code code)
-{
-    error_document document = make_error_document(
-        request_id{"none"},
-        {code, "the request could not be read"},
-        execution_state::not_run,
-        std::nullopt);
-    exchange.send_head(document.status, document.headers);
-    exchange.send_data(std::move(document.body));
-    exchange.finish();
-}
-
 } // namespace
 
 class relay_daemon::impl
@@ -100,8 +88,8 @@
         , random_{system_seed()}
         , core_{core_settings(settings_), log_, metrics_, random_source{random_.next()}}
         , exchanges_{loop_.context(), core_, codec_, suspend_aware_now}
-        , callers_{loop_.context(), settings_.callers_address, limits_of({}), [this](std::shared_ptr<http_exchange> exchange, http_request_message request) { exchanges_.accept(std::move(exchange), std::move(request)); }, write_refusal}
-        , readiness_{loop_.context(), settings_.readiness_address, http_limits{}, [this](std::shared_ptr<http_exchange> exchange, http_request_message const& request) { answer_readiness(*exchange, request); }, write_refusal}
+        , callers_{loop_.context(), settings_.callers_address, limits_of({}), [this](std::shared_ptr<http_exchange> exchange, http_request_message request) { exchanges_.accept(std::move(exchange), std::move(request)); }, refuse_unread}
+        , readiness_{loop_.context(), settings_.readiness_address, http_limits{}, [this](std::shared_ptr<http_exchange> exchange, http_request_message const& request) { answer_readiness(*exchange, request); }, refuse_unread}
         , admin_{loop_.context(), settings_.metrics_address, metrics_, admin_pages{[this] { return ready(); }, [this] { return status(); }, {}}}
         , platform_{connect(loop_.context(), settings_.platform_address)}
         , routes_{loop_.context(), *platform_, *platform_, codec_, log_, suspend_aware_now, [this](route_configuration next, time_point as_of) { take(std::move(next), as_of); }, [this](time_point as_of) { core_.routes().confirm(as_of); }}
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -101,16 +101,7 @@
     if (found.code != result_code::ok)
     {
         of.deadline = now + of.request.patience.value_or(of.rule.timeout);
-        reject(
-            it,
-            found.code,
-            execution_state::not_run,
-            found.detail,
-            found.another_entry
-                ? std::optional{refusal_reason::try_another_entry}
-                : std::nullopt,
-            now,
-            out);
+        reject(it, found, now, out);
         return out;
     }
     of.service = route_table::choose_service(of.rule, random_.unit());
@@ -181,6 +172,33 @@
     forget(it);
 }
 
+void relay_core::reject(
+    record_iterator it, verdict const& found, time_point now, actions& out)
+{
+    reject(
+        it,
+        found.code,
+        execution_state::not_run,
+        found.detail,
+        found.another_entry ? std::optional{refusal_reason::try_another_entry}
+                            : std::nullopt,
+        now,
+        out);
+}
+
+void relay_core::reject_for_outage(
+    record_iterator it, time_point now, actions& out)
+{
+    reject(
+        it,
+        result_code::no_backend_server,
+        execution_state::not_run,
+        "no replica is usable",
+        refusal_reason::outage,
+        now,
+        out);
+}
+
 void relay_core::cut_off(
     record_iterator it, std::string const& reason, time_point now, actions& out)
 {
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -119,14 +119,7 @@
     std::optional<duration> const outage = outage_wait(of, now);
     if (outage && *outage <= duration::zero())
     {
-        reject(
-            it,
-            result_code::no_backend_server,
-            execution_state::not_run,
-            "no replica is usable",
-            refusal_reason::outage,
-            now,
-            out);
+        reject_for_outage(it, now, out);
         return;
     }
     bool const returning = of.request.patience.value_or(of.rule.timeout) <
@@ -191,28 +184,12 @@
     verdict const found = resolve(it->second, now);
     if (found.code != result_code::ok)
     {
-        reject(
-            it,
-            found.code,
-            execution_state::not_run,
-            found.detail,
-            found.another_entry
-                ? std::optional{refusal_reason::try_another_entry}
-                : std::nullopt,
-            now,
-            out);
+        reject(it, found, now, out);
         return;
     }
     if (try_send(it, now, out))
         return;
-    reject(
-        it,
-        result_code::no_backend_server,
-        execution_state::not_run,
-        "no replica is usable",
-        refusal_reason::outage,
-        now,
-        out);
+    reject_for_outage(it, now, out);
 }
 
 bool relay_core::try_send(record_iterator it, time_point now, actions& out)
