Pay for repeats after 421, and find the later replica at an address

An answer that says the replica is another one was taken off the number of attempts, which the core read as "nothing has left this process", so that the next attempt was not paid for. Besides, reports of a rank were credited to the first replica known at its address, which could be the one before.

Ruled out: the entries' number (13 known to each other), restarts of entries (two in the window are provided for).

Change: any attempt that met a replica is followed by a paid one. An address stands for the replica that registered last.

Measured: both tests failed first (a second attempt with an empty budget; the first of three replicas) and pass.

--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -135,6 +135,8 @@
         /// Since when a further attempt has been waiting.
         time_point failed_at{};
         bool may_have_run = false;
+        /// Whether an attempt has met a replica, even one that refused it.
+        bool has_arrived = false;
         /// The answer's head, until its first bytes arrive.
         std::optional<send_head> pending_head;
         unsigned status = 0;
--- a/src/relay/relay_answers.cpp
+++ b/src/relay/relay_answers.cpp
@@ -39,6 +39,7 @@
         return out;
     record& of = it->second;
     of.last_progress = now;
+    of.has_arrived = true;
     service_name const service = of.service;
     bool const failed = answer.status >= first_server_failure;
     bool const success = answer.status < first_failure_status;
@@ -195,8 +196,10 @@
     if (of.attempts >= of.rule.max_attempts ||
         of.deadline - now < least_time_left)
         return false;
-    // An attempt that never left this process is no repeat.
-    return of.attempts == 0 ||
+    // An attempt that never left this process is no repeat. One that another
+    // replica refused at the address is none for the route's limit, but the
+    // replica was asked.
+    return (!ran && !of.has_arrived) ||
            state_of(of.service).budget.take(board_.entries(now), now);
 }
 
--- a/src/replicas/replica_directory.cpp
+++ b/src/replicas/replica_directory.cpp
@@ -80,12 +80,14 @@
 replica const*
 replica_directory::find_by_address(std::string const& address) const
 {
+    replica const* latest = nullptr;
     for (auto const& [id, it] : known_)
     {
-        if (it.address == address)
-            return &it;
+        bool const later = !latest || it.registered > latest->registered;
+        if (it.address == address && later)
+            latest = &it;
     }
-    return nullptr;
+    return latest;
 }
 
 replica const* replica_directory::find(backend_server_id const& id) const
--- a/test/relay/relay_core_test.cpp
+++ b/test/relay/relay_core_test.cpp
@@ -106,6 +106,28 @@
     CHECK(second->target.id != sent->target.id);
 }
 
+// All replicas were replaced at once, and each request met several of them that
+// were others by then: 991 repeats in 10 s where 890 were allowed.
+TEST_CASE("what another replica refused is paid from the budget", "[relay]")
+{
+    relay_fixture it;
+    relay_settings settings;
+    settings.data_centre = data_centre_id{"a"};
+    settings.retries.allowance = 0;
+    settings.retries.ratio = 0;
+    it.core.update(settings);
+    std::optional<open_attempt> const sent =
+        find_action<open_attempt>(it.request(1, "/once/x", 3000));
+    REQUIRE(sent);
+    actions const out =
+        it.core.on_head(1, sent->attempt, not_executed(421), it.now);
+    CHECK_FALSE(find_action<open_attempt>(out));
+    std::optional<refuse> const refused = find_action<refuse>(out);
+    REQUIRE(refused);
+    CHECK(refused->state == execution_state::not_run);
+    CHECK(refused->retry_after);
+}
+
 TEST_CASE("an answer without a replica's mark is never passed on", "[relay]")
 {
     relay_fixture it;
--- a/test/replicas/replica_directory_test.cpp
+++ b/test/replicas/replica_directory_test.cpp
@@ -86,6 +86,20 @@
         backend_server_id{"new"});
 }
 
+TEST_CASE("an address stands for the later replica", "[replicas]")
+{
+    directory_fixture it;
+    it.read(
+        {make_replica("a", "10.0.0.1:1", 7),
+         make_replica("b", "10.0.0.1:1", 9),
+         make_replica("c", "10.0.0.1:1", 8)},
+        900);
+    replica const* const found = it.directory.find_by_address("10.0.0.1:1");
+    REQUIRE(found);
+    CHECK(found->id.str() == "b");
+    CHECK_FALSE(it.directory.find_by_address("10.0.0.2:1"));
+}
+
 TEST_CASE("a replica that another one answers for is left alone", "[replicas]")
 {
     directory_fixture it;
