Ask ranks of other groups for their report once

Cause: a coordinator that cannot hear its whole group reads the reports of all registered replicas of the service.

Ruled out: reads of its own group's ranks, which end once they are heard.

Change: a report of another group takes its replica off the list.

Measured: the new test failed first with 30 reads of a stranger in 3 s, one for each coordinator now.

--- a/src/daemon/group_coordination.cpp
+++ b/src/daemon/group_coordination.cpp
@@ -77,7 +77,11 @@
 void group_coordination::on_report(wire::rank_report const& report)
 {
     if (report.group() != group_.str())
+    {
+        // The service has several groups, whose ranks are registered alike.
+        std::erase(registered_, report.address());
         return;
+    }
     time_point const now = clock_();
     addresses_[report.rank()] = report.address();
     paces_[report.rank()] = report.pace();
