Take no choices of more than half a second into one report

Cause: choices since the last report, read again after a time without a coordinator, would count as choices of the last moment.

Ruled out: nothing; found in reading the change.

Change: after 500 ms a rank starts from the counts as they are. A comment on the pace of map orders says what the figure is.

--- a/src/daemon/rank_monitor.cpp
+++ b/src/daemon/rank_monitor.cpp
@@ -13,6 +13,8 @@
 /// A change of map waits for each rank's next report.
 constexpr duration change_state_interval = milliseconds{20};
 constexpr duration choices_interval = milliseconds{100};
+/// Choices of a longer time say little of the demand of the moment.
+constexpr duration longest_choices = milliseconds{500};
 /// Bytes of choices that a coordinator gets in that time, less than a third
 /// of a link of 8 Mbit/s. Where all ranks have more to tell, some tell theirs.
 constexpr std::size_t choices_budget = std::size_t{30} * 1000;
@@ -201,8 +203,10 @@
 // grow over the day.
 void rank_monitor::add_choices(choice_counts const& counts)
 {
+    time_point const now = clock_();
     std::size_t const size = counts.counts.size();
-    bool const follows = choices_ && choices_->epoch == counts.epoch &&
+    bool const follows = choices_ && now - choices_taken_ <= longest_choices &&
+                         choices_->epoch == counts.epoch &&
                          choices_->start == counts.start &&
                          choices_->counts.size() == size;
     if (follows)
@@ -218,6 +222,7 @@
     else
         new_choices_.clear();
     choices_ = counts;
+    choices_taken_ = now;
 }
 
 wire::rank_report rank_monitor::report_of(rank_state const& state) const
--- a/src/daemon/rank_monitor.hpp
+++ b/src/daemon/rank_monitor.hpp
@@ -71,6 +71,7 @@
     std::uint64_t experts_epoch_ = 0;
     std::uint64_t experts_version_ = 0;
     std::optional<choice_counts> choices_;
+    time_point choices_taken_{};
     /// Choices that were not reported yet, by set and expert.
     std::vector<std::uint32_t> new_choices_;
     std::uint64_t accepted_version_ = 0;
--- a/src/expert_map/hold_coordinator.cpp
+++ b/src/expert_map/hold_coordinator.cpp
@@ -16,8 +16,8 @@
 constexpr duration settle_time = milliseconds{250};
 /// Time without effect after which an order is repeated.
 constexpr duration repeat_after = milliseconds{70};
-/// Time for the order of a map to one rank: some 6 KB for 63 ranks, at less
-/// than a link of 8 Mbit/s takes. Fewer ranks make smaller maps.
+/// Time between the orders of a map: it has some 6 KB for 63 ranks, which take
+/// 6 ms on a link of 8 Mbit/s. Fewer ranks make smaller maps.
 constexpr duration copy_order_time = milliseconds{6};
 /// Orders of maps at once; more would fill the queue of a narrow link.
 constexpr std::size_t most_copy_orders = 12;
