Log what planning costs, and how entries see a service's load

Nothing told a coordinator whose VM is saturated from a slow search, nor showed streams, limit, waits and gaps at an entry. Adds the lines coordinator_load and service_load, once a second, planning_ms in map_planned, and the metrics beside them. No decision is changed.

--- a/include/hornbeamweir/expert_map/hold_coordinator.hpp
+++ b/include/hornbeamweir/expert_map/hold_coordinator.hpp
@@ -121,6 +121,9 @@
     [[nodiscard]] std::vector<std::uint32_t>
     ranks_with_stale_report(duration age, time_point now) const;
 
+    /// \brief Age of the oldest last report of a rank; 0 without reports.
+    [[nodiscard]] duration oldest_report_age(time_point now) const;
+
 private:
     /// Last observed state of a rank.
     struct rank_view
--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -7,6 +7,7 @@
 #include <hornbeamweir/relay/replica_load_tracker.hpp>
 #include <hornbeamweir/relay/retry_after_planner.hpp>
 #include <hornbeamweir/relay/retry_budget_share.hpp>
+#include <hornbeamweir/relay/service_activity.hpp>
 #include <hornbeamweir/replicas/replica_directory.hpp>
 #include <hornbeamweir/routes/versioned_route_table.hpp>
 #include <hornbeamweir/routing/failure_tracker.hpp>
@@ -173,6 +174,7 @@
         step_cost cost;
         /// Maximum number of concurrent streams at a replica.
         std::uint32_t stream_limit = 0;
+        service_activity activity;
     };
 
     [[nodiscard]] resolution resolve(request_state& request, time_point now);
@@ -189,6 +191,7 @@
     void dispatch(service_name const& name, time_point now, actions& out);
     void dispatch_all(time_point now, actions& out);
     void send_queued(request_iterator it, time_point now, actions& out);
+    void log_activity(time_point now);
     void retry_or_fail(
         request_iterator it,
         bool may_have_run,
--- a/include/hornbeamweir/relay/replica_load_tracker.hpp
+++ b/include/hornbeamweir/relay/replica_load_tracker.hpp
@@ -44,6 +44,13 @@
     [[nodiscard]] std::uint32_t
     in_flight(backend_server_id const& id, time_point now) const;
 
+    /// \returns The number of open requests of this entry at a replica.
+    [[nodiscard]] std::uint32_t own_in_flight(backend_server_id const& id) const
+    {
+        auto const it = local_.find(id);
+        return it == local_.end() ? 0 : it->second;
+    }
+
     /// \returns The last reported status; the default if there is none or it is
     /// older than max_report_age.
     [[nodiscard]] rank_status
--- a/src/daemon/group_coordination.cpp
+++ b/src/daemon/group_coordination.cpp
@@ -54,6 +54,7 @@
     , send_{std::move(send)}
     , leadership_{store, log, clock, random, std::move(self)}
     , coordinator_{log}
+    , activity_{log, metrics}
 {
 }
 
@@ -87,6 +88,7 @@
         return;
     }
     time_point const now = clock_();
+    activity_.on_report();
     addresses_[report.rank()] = report.address();
     slowdowns_[report.rank()] = report.pace();
     coordinator_.on_report(from_wire(report), experts_of(report), now);
@@ -133,6 +135,7 @@
         metrics_.count(
             "hornbeamweir_rank_orders_total",
             {{"operation", std::string{name_of(order.operation)}}});
+        activity_.on_order();
         send_(order);
     }
     update_metrics(now);
@@ -190,6 +193,7 @@
         return;
     }
     time_point const now = clock_();
+    activity_.on_tick(now, coordinator_.oldest_report_age(now));
     duration const due = engine_profile_ ? profile_interval : profile_retry;
     if (now - profile_read_at_ >= due)
         read_profile();
@@ -262,13 +266,14 @@
 }
 
 // Demand may change while ranks copy a map.
-bool group_coordination::preparing_map_outdated(time_point now) const
+bool group_coordination::preparing_map_outdated(time_point now)
 {
     group_experts const* const preparing = coordinator_.preparing_map();
     if (!preparing || !engine_profile_)
         return false;
     std::optional<double> const skew =
         planner_.skew_of(*preparing, *engine_profile_, slowdowns(), now);
+    activity_.on_planned(clock_() - now);
     return skew && *skew > outdated_skew;
 }
 
@@ -288,6 +293,8 @@
         return;
     std::optional<planned_map> next =
         planner_.plan(*current, *engine_profile_, slowdowns(), now);
+    duration const elapsed = clock_() - now;
+    activity_.on_planned(elapsed);
     if (!next)
         return;
     event line{"map_planned"};
@@ -297,7 +304,10 @@
         .with(
             "skew_after",
             next->skew_sum_after / static_cast<double>(current->size()))
-        .with("moves", next->moves);
+        .with("moves", next->moves)
+        .with(
+            "planning_ms",
+            std::chrono::duration_cast<milliseconds>(elapsed).count());
     log_.info(line);
     metrics_.count("hornbeamweir_maps_planned_total", {});
     metrics_.count("hornbeamweir_map_moves_total", {}, next->moves);
--- a/src/daemon/group_coordination.hpp
+++ b/src/daemon/group_coordination.hpp
@@ -7,6 +7,8 @@
 #include <hornbeamweir/relay/relay_codec.hpp>
 #include <hornbeamweir/telemetry/metrics_registry.hpp>
 
+#include "coordinator_activity.hpp"
+
 namespace hornbeamweir
 {
 
@@ -89,7 +91,7 @@
     void read_profile();
     void read_replicas();
     void plan_map(time_point now);
-    [[nodiscard]] bool preparing_map_outdated(time_point now) const;
+    [[nodiscard]] bool preparing_map_outdated(time_point now);
     void update_metrics(time_point now);
     void add_activations(wire::rank_report const& report, time_point now);
     [[nodiscard]] std::vector<double> slowdowns() const;
@@ -104,6 +106,7 @@
     leadership leadership_;
     hold_coordinator coordinator_;
     map_planner planner_;
+    coordinator_activity activity_;
     model_group_id group_;
     service_name service_;
     std::uint32_t rank_ = 0;
--- a/src/expert_map/hold_coordinator.cpp
+++ b/src/expert_map/hold_coordinator.cpp
@@ -398,4 +398,12 @@
     return out;
 }
 
+duration hold_coordinator::oldest_report_age(time_point now) const
+{
+    duration out{};
+    for (auto const& [rank, view] : views_)
+        out = std::max(out, now - view.reported_at);
+    return out;
+}
+
 } // namespace hornbeamweir
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -87,7 +87,8 @@
             std::nullopt,
             nullptr,
             {},
-            0};
+            0,
+            {}};
         it = services_.emplace(name, std::move(created)).first;
     }
     refresh_limits(it->second, name);
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -200,8 +200,13 @@
         reject(it, found, now, out);
         return;
     }
+    duration const wait = now - it->second.arrived;
+    service_activity& activity = service_state_for(it->second.service).activity;
     if (try_send(it, now, out))
+    {
+        activity.on_dispatched(wait);
         return;
+    }
     reject_for_outage(it, now, out);
 }
 
@@ -275,7 +280,28 @@
         check_timeouts(current, now, out);
     }
     dispatch_all(now, out);
+    log_activity(now);
     return out;
 }
 
+void relay_core::log_activity(time_point now)
+{
+    for (auto& [name, state] : services_)
+    {
+        if (!state.activity.is_due(now))
+            continue;
+        service_occupancy occupancy;
+        for (replica const* it : directory_.usable(name))
+        {
+            ++occupancy.replicas;
+            occupancy.all_requests += loads_.in_flight(it->id, now);
+            occupancy.own_requests += loads_.own_in_flight(it->id);
+        }
+        occupancy.queued = state.queue.size();
+        if (state.stream_limit != std::numeric_limits<std::uint32_t>::max())
+            occupancy.stream_limit = state.stream_limit;
+        state.activity.write(name, occupancy, log_, metrics_, now);
+    }
+}
+
 } // namespace hornbeamweir::relay
--- a/src/relay/relay_responses.cpp
+++ b/src/relay/relay_responses.cpp
@@ -116,8 +116,14 @@
     if (it == requests_.end())
         return out;
     request_state& request = it->second;
+    service_state& service = service_state_for(request.service);
+    if (request.is_event_stream && request.first_data_at)
+    {
+        service.activity.on_gap(
+            now - request.last_progress, request.matched_route.target_gap);
+    }
     request.last_progress = now;
-    service_state_for(request.service).last_progress = now;
+    service.last_progress = now;
     if (request.is_event_stream)
         bytes = request.events.append(bytes);
     if (bytes.empty())
