Limit streams by the passes that are measured, and share them fairly

Cause: the stream limit assumed passes of twice the sum of their steps, whatever they took, so that a group whose experts were unevenly loaded never recovered; 13 entries each used all capacity that seemed free in counts 100 ms old (675 streams with a limit of 567), and those that came late got none; and callers' retries waited for up to half of the time left, longer than the 2 s after which callers leave, in place of new requests.

Now the limit follows the mean gap of the last seconds' longest passes; each entry has a share of the group's streams that tends to an equal one; a retry for a stream waits twice the target latency at most, and is rejected at once while new requests are being rejected.

A limit on callers' share of demand (water-filling over reported queues) was weighed; it needs another field in the entries' reports.

--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -8,6 +8,8 @@
 #include <hornbeamweir/relay/retry_after_planner.hpp>
 #include <hornbeamweir/relay/retry_budget_share.hpp>
 #include <hornbeamweir/relay/service_activity.hpp>
+#include <hornbeamweir/relay/stream_limit.hpp>
+#include <hornbeamweir/relay/stream_share.hpp>
 #include <hornbeamweir/replicas/replica_directory.hpp>
 #include <hornbeamweir/routes/versioned_route_table.hpp>
 #include <hornbeamweir/routing/failure_tracker.hpp>
@@ -172,8 +174,15 @@
         /// Configuration from which the members below were computed.
         std::shared_ptr<route_table const> table;
         step_cost cost;
-        /// Maximum number of concurrent streams at a replica.
-        std::uint32_t stream_limit = 0;
+        /// Limits the concurrent streams at a replica; empty for services
+        /// without an engine or streaming routes.
+        std::optional<stream_limiter> limiter;
+        /// Streams that this entry may have open, if there is a limiter.
+        stream_share share;
+        /// When a new request was last rejected because of the load.
+        std::optional<time_point> overloaded_at;
+        /// Attempts of this entry in progress.
+        std::uint32_t own_attempts = 0;
         service_activity activity;
     };
 
@@ -191,7 +200,16 @@
     void dispatch(service_name const& name, time_point now, actions& out);
     void dispatch_all(time_point now, actions& out);
     void send_queued(request_iterator it, time_point now, actions& out);
-    void log_activity(time_point now);
+    /// Adapts the stream limits, and logs the load of each service.
+    void observe_services(time_point now);
+    [[nodiscard]] static bool is_caller_retry(request_state const& request);
+    /// Rejects a request that can't be served in time.
+    void reject_for_overload(
+        request_iterator it, std::string detail, time_point now, actions& out);
+    void update_share(
+        service_name const& name, service_state& state, time_point now) const;
+    [[nodiscard]] service_occupancy
+    occupancy_of(service_name const& name, time_point now) const;
     void retry_or_fail(
         request_iterator it,
         bool may_have_run,
--- a/include/hornbeamweir/relay/replica_load_tracker.hpp
+++ b/include/hornbeamweir/relay/replica_load_tracker.hpp
@@ -2,8 +2,10 @@
 
 #include <hornbeamweir/core/identifier.hpp>
 #include <hornbeamweir/core/time.hpp>
+#include <hornbeamweir/replicas/replica.hpp>
 
 #include <map>
+#include <vector>
 
 namespace hornbeamweir
 {
@@ -51,6 +53,11 @@
         return it == local_.end() ? 0 : it->second;
     }
 
+    /// \returns The number of open requests of each other entry at any of some
+    /// replicas, from its last report.
+    [[nodiscard]] std::vector<std::uint32_t> peers_in_flight(
+        std::vector<replica const*> const& replicas, time_point now) const;
+
     /// \returns The last reported status; the default if there is none or it is
     /// older than max_report_age.
     [[nodiscard]] rank_status
--- a/include/hornbeamweir/relay/service_activity.hpp
+++ b/include/hornbeamweir/relay/service_activity.hpp
@@ -22,6 +22,8 @@
     std::size_t replicas = 0;
     /// Maximum number of streams at a replica; empty without a limit.
     std::optional<std::uint32_t> stream_limit;
+    /// Measured ratio of the duration of a pass to the sum of its token steps.
+    double pass_overhead = 0;
     std::size_t queued = 0;
 };
 
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -87,6 +87,9 @@
             std::nullopt,
             nullptr,
             {},
+            std::nullopt,
+            {},
+            std::nullopt,
             0,
             {}};
         it = services_.emplace(name, std::move(created)).first;
@@ -151,6 +154,7 @@
     request_state& request, attempt_outcome outcome, time_point now)
 {
     loads_.on_attempt_ended(request.target);
+    --service_state_for(request.service).own_attempts;
     if (outcome == attempt_outcome::succeeded)
         failures_.on_succeeded(request.target, now);
     else if (outcome == attempt_outcome::failed)
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -1,5 +1,4 @@
 #include <hornbeamweir/relay/relay_core.hpp>
-#include <hornbeamweir/relay/stream_limit.hpp>
 
 #include <algorithm>
 #include <limits>
@@ -18,6 +17,13 @@
 constexpr double min_new_request_timeout_fraction = 0.95;
 /// Time after the loss of all replicas during which requests are still queued.
 constexpr duration max_outage_queueing = std::chrono::milliseconds{2000};
+/// Time after the rejection of a new request for which callers' retries are
+/// rejected at once: they are late in any case, and would take the place of
+/// requests that can still be on time.
+constexpr duration overload_memory = std::chrono::milliseconds{500};
+/// Maximum wait of a caller's retry for a stream, as a multiple of the target
+/// latency: callers abandon streams that do not begin within four times it.
+constexpr int max_stream_wait_factor = 2;
 /// Maximum wait for a replica in an outage: callers abandon streams that do not
 /// begin within 2 s.
 constexpr duration max_outage_wait = std::chrono::milliseconds{1500};
@@ -38,7 +44,13 @@
 relay_core::candidates_for(request_state const& request, time_point now)
 {
     std::vector<candidate> out;
-    std::uint32_t const limit = service_state_for(request.service).stream_limit;
+    std::optional<stream_limiter> const& limiter =
+        service_state_for(request.service).limiter;
+    // The entry's share bounds the streams of the group; a single rank may have
+    // one more, as the streams can't be spread exactly.
+    std::uint32_t const limit = limiter
+                                    ? limiter->limit() + 1
+                                    : std::numeric_limits<std::uint32_t>::max();
     for (replica const* it : directory_.usable(request.service))
     {
         rank_status const status = loads_.status_of(it->id, now);
@@ -68,7 +80,7 @@
 }
 
 // Recomputes the step cost and the stream limit when the configuration has
-// changed.
+// changed. A limiter for the same engine and gap keeps what it has measured.
 void relay_core::refresh_limits(
     service_state& state, service_name const& name) const
 {
@@ -76,12 +88,15 @@
         return;
     state.table = routes_.table();
     state.cost = {};
-    state.stream_limit = std::numeric_limits<std::uint32_t>::max();
     service_profile const* const profile =
         state.table ? state.table->find_service(name) : nullptr;
     if (!profile || !profile->engine)
+    {
+        state.limiter.reset();
         return;
+    }
     state.cost = {profile->engine->step, profile->engine->per_sequence};
+    std::optional<duration> target_gap;
     for (route const& it : state.table->configuration().routes)
     {
         bool const routed_here = std::any_of(
@@ -89,13 +104,15 @@
             it.services.end(),
             [&](weighted_service const& weighted)
             { return weighted.service == name; });
-        if (routed_here && it.streaming)
-        {
-            state.stream_limit = std::min(
-                state.stream_limit,
-                stream_limit(*profile->engine, it.target_gap));
-        }
+        if (routed_here && it.streaming && it.target_gap > duration::zero())
+            target_gap =
+                std::min(target_gap.value_or(it.target_gap), it.target_gap);
     }
+    if (!target_gap)
+        state.limiter.reset();
+    else if (
+        !state.limiter || !state.limiter->is_for(*profile->engine, *target_gap))
+        state.limiter.emplace(*profile->engine, *target_gap);
 }
 
 // A group that has lost a rank re-forms within 1 s to 2 s, so requests wait for
@@ -117,6 +134,29 @@
          scaled(request.deadline - now, outage_wait_fraction)});
 }
 
+bool relay_core::is_caller_retry(request_state const& request)
+{
+    return request.message.caller_timeout.value_or(
+               request.matched_route.timeout) <
+           scaled(
+               request.matched_route.timeout, min_new_request_timeout_fraction);
+}
+
+void relay_core::reject_for_overload(
+    request_iterator it, std::string detail, time_point now, actions& out)
+{
+    if (!is_caller_retry(it->second))
+        service_state_for(it->second.service).overloaded_at = now;
+    reject(
+        it,
+        result_code::queue_full,
+        execution_state::not_run,
+        std::move(detail),
+        rejection_reason::overload,
+        now,
+        out);
+}
+
 // A new request waits only as long as it can still meet the target latency. A
 // caller's retry is late in any case: it gets a lower priority, but may wait
 // longer.
@@ -129,31 +169,34 @@
         reject_for_outage(it, now, out);
         return;
     }
-    bool const is_caller_retry =
-        request.message.caller_timeout.value_or(request.matched_route.timeout) <
-        scaled(request.matched_route.timeout, min_new_request_timeout_fraction);
-    duration const wait =
-        is_caller_retry
+    service_state& state = service_state_for(request.service);
+    bool const is_retry = is_caller_retry(request);
+    if (is_retry && state.limiter && state.overloaded_at &&
+        now - *state.overloaded_at < overload_memory)
+    {
+        reject_for_overload(it, "new requests are rejected too", now, out);
+        return;
+    }
+    duration wait =
+        is_retry
             ? scaled(request.deadline - now, queue_wait_fraction)
             : scaled(request.matched_route.target_latency, queue_wait_fraction);
+    if (request.matched_route.streaming)
+    {
+        wait = std::min(
+            wait,
+            request.matched_route.target_latency * max_stream_wait_factor);
+    }
     queued_request item;
     // The exchange id is unique; the id set by the caller may be missing.
     item.id = request_id{std::to_string(it->first)};
     item.customer = request.customer;
-    item.priority =
-        2 * request.matched_route.priority + (is_caller_retry ? 1 : 0);
+    item.priority = 2 * request.matched_route.priority + (is_retry ? 1 : 0);
     item.deadline = now + outage.value_or(wait);
     service_name const service = request.service;
-    if (service_state_for(service).queue.push(item, now))
+    if (state.queue.push(item, now))
     {
-        reject(
-            it,
-            result_code::queue_full,
-            execution_state::not_run,
-            "the wait would be too long",
-            rejection_reason::overload,
-            now,
-            out);
+        reject_for_overload(it, "the wait would be too long", now, out);
         return;
     }
     dispatch(service, now, out);
@@ -165,8 +208,13 @@
     auto const state = services_.find(name);
     if (state == services_.end())
         return;
+    if (state->second.limiter && state->second.share.is_due(now))
+        update_share(name, state->second, now);
     while (state->second.queue.size() > 0)
     {
+        if (state->second.limiter &&
+            state->second.own_attempts >= state->second.share.maximum())
+            return;
         // Stands for any new request, which excludes no replica.
         request_state new_request;
         new_request.service = name;
@@ -233,6 +281,7 @@
     request.phase = request.first_data_at ? request_phase::responding
                                           : request_phase::awaiting_response;
     loads_.on_attempt_started(target.id);
+    ++service_state_for(request.service).own_attempts;
     open_attempt open;
     open.exchange = it->first;
     open.attempt = request.attempt;
@@ -264,14 +313,7 @@
                 requests_.find(std::stoull(expired.id.str()));
             if (it == requests_.end())
                 continue;
-            reject(
-                it,
-                result_code::queue_full,
-                execution_state::not_run,
-                "the wait became too long",
-                rejection_reason::overload,
-                now,
-                out);
+            reject_for_overload(it, "the wait became too long", now, out);
         }
     }
     for (request_iterator it = requests_.begin(); it != requests_.end();)
@@ -280,26 +322,57 @@
         check_timeouts(current, now, out);
     }
     dispatch_all(now, out);
-    log_activity(now);
+    observe_services(now);
+    return out;
+}
+
+void relay_core::update_share(
+    service_name const& name, service_state& state, time_point now) const
+{
+    std::vector<replica const*> const usable = directory_.usable(name);
+    stream_counts counts;
+    counts.own = state.own_attempts;
+    counts.peers = loads_.peers_in_flight(usable, now);
+    for (replica const* it : usable)
+        counts.capacity += std::min(it->slots, state.limiter->limit());
+    state.share.update(counts, now);
+}
+
+service_occupancy
+relay_core::occupancy_of(service_name const& name, time_point now) const
+{
+    service_occupancy out;
+    for (replica const* it : directory_.usable(name))
+    {
+        ++out.replicas;
+        out.all_requests += loads_.in_flight(it->id, now);
+        out.own_requests += loads_.own_in_flight(it->id);
+    }
     return out;
 }
 
-void relay_core::log_activity(time_point now)
+void relay_core::observe_services(time_point now)
 {
     for (auto& [name, state] : services_)
     {
-        if (!state.activity.is_due(now))
+        bool const limit_due = state.limiter && state.limiter->is_due(now);
+        bool const log_due = state.activity.is_due(now);
+        if (!limit_due && !log_due)
             continue;
-        service_occupancy occupancy;
-        for (replica const* it : directory_.usable(name))
+        service_occupancy occupancy = occupancy_of(name, now);
+        if (limit_due && occupancy.replicas > 0)
+            state.limiter->update(
+                static_cast<double>(occupancy.all_requests) /
+                    static_cast<double>(occupancy.replicas),
+                now);
+        if (!log_due)
+            continue;
+        occupancy.queued = state.queue.size();
+        if (state.limiter)
         {
-            ++occupancy.replicas;
-            occupancy.all_requests += loads_.in_flight(it->id, now);
-            occupancy.own_requests += loads_.own_in_flight(it->id);
+            occupancy.stream_limit = state.limiter->limit();
+            occupancy.pass_overhead = state.limiter->pass_overhead();
         }
-        occupancy.queued = state.queue.size();
-        if (state.stream_limit != std::numeric_limits<std::uint32_t>::max())
-            occupancy.stream_limit = state.stream_limit;
         state.activity.write(name, occupancy, log_, metrics_, now);
     }
 }
--- a/src/relay/relay_responses.cpp
+++ b/src/relay/relay_responses.cpp
@@ -119,8 +119,10 @@
     service_state& service = service_state_for(request.service);
     if (request.is_event_stream && request.first_data_at)
     {
-        service.activity.on_gap(
-            now - request.last_progress, request.matched_route.target_gap);
+        duration const gap = now - request.last_progress;
+        service.activity.on_gap(gap, request.matched_route.target_gap);
+        if (service.limiter)
+            service.limiter->on_gap(gap);
     }
     request.last_progress = now;
     service.last_progress = now;
--- a/src/relay/replica_load_tracker.cpp
+++ b/src/relay/replica_load_tracker.cpp
@@ -38,6 +38,25 @@
     return total;
 }
 
+std::vector<std::uint32_t> replica_load_tracker::peers_in_flight(
+    std::vector<replica const*> const& replicas, time_point now) const
+{
+    std::vector<std::uint32_t> out;
+    for (auto const& [name, peer] : peers_)
+    {
+        if (now - peer.received_at > max_report_age)
+            continue;
+        std::uint32_t total = 0;
+        for (replica const* replica : replicas)
+        {
+            auto const it = peer.loads.find(replica->id);
+            total += it == peer.loads.end() ? 0 : it->second;
+        }
+        out.push_back(total);
+    }
+    return out;
+}
+
 rank_status replica_load_tracker::status_of(
     backend_server_id const& id, time_point now) const
 {
--- a/src/relay/service_activity.cpp
+++ b/src/relay/service_activity.cpp
@@ -63,7 +63,10 @@
         .with("wait_ms", mean_milliseconds(last.wait_sum, last.dispatched))
         .with("max_wait_ms", milliseconds_of(last.max_wait));
     if (occupancy.stream_limit)
-        line.with("limit", *occupancy.stream_limit);
+    {
+        line.with("limit", *occupancy.stream_limit)
+            .with("pass_overhead", occupancy.pass_overhead);
+    }
     if (last.gaps > 0)
     {
         line.with("gaps", last.gaps)
--- a/src/relay/stream_limit.cpp
+++ b/src/relay/stream_limit.cpp
@@ -1,6 +1,7 @@
 #include <hornbeamweir/relay/stream_limit.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace hornbeamweir::relay
 {
@@ -8,21 +9,34 @@
 namespace
 {
 
-/// Ratio of the duration of a forward pass to the sum of its token steps.
-/// Allows for prefill during the pass, and for the most loaded rank until the
-/// load is rebalanced after a change of demand.
-constexpr double pass_overhead_factor = 2.0;
+constexpr duration window = std::chrono::milliseconds{250};
+/// Windows with fewer gaps are not representative.
+constexpr std::uint32_t min_gaps = 10;
+/// Gaps above this belong to a group that stands still, not to a slow pass.
+constexpr duration max_gap = std::chrono::milliseconds{600};
+/// Time in which a higher overhead of the past decays to 1/e of its excess
+/// over the measured one.
+constexpr double decay_time_s = 20;
+/// Fraction of the target gap that a mean pass may take; passes differ by the
+/// prompts that they read.
+constexpr double mean_gap_fraction = 0.93;
+/// Bounds of the overhead: with less, the slots limit the streams; with more,
+/// a rank is slow, and fewer streams hardly make its passes shorter.
+constexpr double min_overhead = 1.5;
+constexpr double max_overhead = 3.0;
 
 } // namespace
 
-std::uint32_t
-stream_limit(engine_profile const& engine, duration target_gap) noexcept
+std::uint32_t stream_limit(
+    engine_profile const& engine,
+    duration target_gap,
+    double pass_overhead) noexcept
 {
     if (target_gap <= duration::zero() ||
         engine.per_sequence <= duration::zero())
         return engine.slots;
     double const max_step = static_cast<double>(target_gap.count()) /
-                            (pass_overhead_factor * engine.stride);
+                            (pass_overhead * engine.stride);
     double const fitting_streams =
         (max_step - static_cast<double>(engine.step.count())) /
         static_cast<double>(engine.per_sequence.count());
@@ -31,4 +45,49 @@
     return static_cast<std::uint32_t>(limited);
 }
 
+stream_limiter::stream_limiter(
+    engine_profile const& engine, duration target_gap) noexcept
+    : engine_{engine}
+    , target_gap_{target_gap}
+    , limit_{stream_limit(engine, target_gap)}
+{
+}
+
+void stream_limiter::on_gap(duration gap) noexcept
+{
+    if (gap > max_gap)
+        return;
+    ++gaps_;
+    gap_sum_ += gap;
+}
+
+bool stream_limiter::is_due(time_point now) const noexcept
+{
+    return now - window_began_at_ >= window;
+}
+
+void stream_limiter::update(double streams, time_point now) noexcept
+{
+    double const elapsed_s =
+        std::chrono::duration<double>(now - window_began_at_).count();
+    window_began_at_ = now;
+    double const steps_us =
+        engine_.stride *
+        (static_cast<double>(engine_.step.count()) +
+         streams * static_cast<double>(engine_.per_sequence.count()));
+    if (gaps_ >= min_gaps && steps_us > 0)
+    {
+        double const gap_us = static_cast<double>(gap_sum_.count()) / gaps_;
+        double const measured =
+            std::clamp(gap_us / steps_us, min_overhead, max_overhead);
+        double const kept = std::exp(-elapsed_s / decay_time_s);
+        overhead_ =
+            std::max(measured, measured + (overhead_ - measured) * kept);
+        limit_ =
+            stream_limit(engine_, target_gap_, overhead_ / mean_gap_fraction);
+    }
+    gaps_ = 0;
+    gap_sum_ = {};
+}
+
 } // namespace hornbeamweir::relay
--- a/test/relay/overload_test.cpp
+++ b/test/relay/overload_test.cpp
@@ -1,10 +1,13 @@
 #include <hornbeamweir/relay/stream_limit.hpp>
+#include <hornbeamweir/relay/stream_share.hpp>
 
 #include "test/support/relay_fixture.hpp"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
 
 #include <algorithm>
+#include <numeric>
 
 using namespace hornbeamweir;
 using namespace hornbeamweir::relay;
@@ -108,6 +111,112 @@
     }
 }
 
+TEST_CASE("the stream limit follows the passes that are measured", "[overload]")
+{
+    engine_profile engine;
+    engine.slots = 12;
+    engine.stride = 4;
+    engine.step = duration{4550};
+    engine.per_sequence = duration{905};
+    constexpr milliseconds target{120};
+    constexpr double streams = 10;
+    stream_limiter limiter{engine, target};
+    time_point now{std::chrono::seconds{1}};
+    // A pass of ten streams has token steps of 54 ms.
+    auto const run = [&](int gap_ms, int windows)
+    {
+        for (int k = 0; k < windows; ++k)
+        {
+            now += milliseconds{250};
+            for (int n = 0; n < 40; ++n)
+                limiter.on_gap(milliseconds{gap_ms});
+            limiter.update(streams, now);
+        }
+        return limiter.limit();
+    };
+    CHECK(limiter.limit() == stream_limit(engine, target));
+    std::uint32_t const slow = run(150, 2);
+    CHECK(slow < 10);
+    // Demand changes again within seconds; the limit must still hold then.
+    CHECK(run(75, 8) == slow);
+    CHECK(run(75, 400) == 12);
+    CHECK(run(2000, 4) == 12);
+    CHECK(run(1000, 1) == 12);
+    CHECK(run(590, 40) == 5);
+}
+
+TEST_CASE("entries share the streams of a group", "[overload]")
+{
+    struct test_case
+    {
+        stream_counts counts;
+        std::uint32_t maximum;
+    };
+    std::vector<test_case> const test_cases{
+        {{0, {0, 0, 0}, 400}, 50},
+        {{100, {80, 80, 0}, 400}, 118},
+        // All is used by others: grows towards an equal share.
+        {{20, {200, 180, 0}, 400}, 30},
+        {{0, {400, 400, 400}, 400}, 13},
+        // More is used than there is: those above their share give way.
+        {{160, {120, 120, 100}, 400}, 148},
+        {{5, {}, 60}, 60}};
+    for (test_case const& test_case : test_cases)
+    {
+        CAPTURE(test_case.counts.own, test_case.counts.peers);
+        stream_share share;
+        share.update(test_case.counts, time_point{std::chrono::seconds{1}});
+        CHECK(share.maximum() == test_case.maximum);
+    }
+}
+
+TEST_CASE("entries with old counts of each other keep the limit", "[overload]")
+{
+    rc::prop(
+        "the streams stay near the capacity, and no entry is starved",
+        []
+        {
+            std::size_t const entries = *rc::gen::inRange<std::size_t>(2, 16);
+            std::uint32_t const capacity = *rc::gen::inRange(100U, 800U);
+            std::uint32_t const equal =
+                capacity / static_cast<std::uint32_t>(entries);
+            std::vector<std::uint32_t> own(entries, 0);
+            own.front() = *rc::gen::inRange(0U, capacity + 1);
+            std::vector<std::uint32_t> reported(entries, 0);
+            reported.front() = own.front();
+            time_point now{std::chrono::seconds{1}};
+            constexpr int rounds = 60;
+            for (int round = 0; round < rounds; ++round)
+            {
+                now += milliseconds{100};
+                std::vector<std::uint32_t> next;
+                for (std::size_t n = 0; n < entries; ++n)
+                {
+                    std::vector<std::uint32_t> peers = reported;
+                    peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(n));
+                    stream_share share;
+                    share.update({own[n], peers, capacity}, now);
+                    // Streams last for 2 s, and demand takes all that it can.
+                    std::uint32_t const left = own[n] - (own[n] + 10) / 20;
+                    next.push_back(std::max(left, share.maximum()));
+                }
+                reported = own;
+                own = next;
+                std::uint32_t const total =
+                    std::accumulate(own.begin(), own.end(), 0U);
+                // The slots of ranks are about 1.5 times their stream limit.
+                RC_ASSERT(total <= capacity + capacity / 2 + entries);
+                if (round + 1 == rounds)
+                {
+                    RC_ASSERT(total <= capacity + capacity / 10 + entries);
+                    RC_ASSERT(
+                        *std::min_element(own.begin(), own.end()) + 2 >=
+                        equal - equal / 4);
+                }
+            }
+        });
+}
+
 TEST_CASE("retries stay within the budget of any sliding window", "[overload]")
 {
     retry_limits limits;
