--- a/src/relay/stream_share.cpp
+++ b/src/relay/stream_share.cpp
@@ -39,9 +39,12 @@
     double unused = static_cast<double>(counts.capacity) - counts.own;
     for (std::uint32_t const peer : counts.peers)
         unused -= peer;
-    double added = gain * unused / entries;
+    // Streams are not cut: an entry above its share gives way as they end.
+    double added = unused > 0 ? gain * unused / entries
+                              : std::max(unused, equal - counts.own);
     if (counts.own < equal)
-        added = std::max(added, growth * (equal - counts.own));
+        added =
+            std::max(unused > 0 ? added : 0.0, growth * (equal - counts.own));
     maximum_ = static_cast<std::uint32_t>(
         std::max(0.0, counts.own + std::ceil(added)));
 }
