--- a/src/relay/stream_share.cpp
+++ b/src/relay/stream_share.cpp
@@ -18,6 +18,9 @@
 /// interval although all capacity is used; the others give way as their streams
 /// end.
 constexpr double growth = 0.125;
+/// Part of its equal share by which an entry below it may grow in one interval
+/// while some capacity is unused.
+constexpr double max_jump = 0.25;
 
 } // namespace
 
@@ -39,12 +42,16 @@
     double unused = static_cast<double>(counts.capacity) - counts.own;
     for (std::uint32_t const peer : counts.peers)
         unused -= peer;
-    // Streams are not cut: an entry above its share gives way as they end.
-    double added = unused > 0 ? gain * unused / entries
-                              : std::max(unused, equal - counts.own);
-    if (counts.own < equal)
-        added =
-            std::max(unused > 0 ? added : 0.0, growth * (equal - counts.own));
+    double const lacking = equal - counts.own;
+    double added = 0;
+    if (unused > 0)
+        added = std::max(
+            gain * unused / entries, std::min(lacking, max_jump * equal));
+    else if (lacking < 0)
+        // Streams are not cut: the entry gives way as they end.
+        added = std::max(unused, lacking);
+    if (lacking > 0)
+        added = std::max(added, growth * lacking);
     maximum_ = static_cast<std::uint32_t>(
         std::max(0.0, counts.own + std::ceil(added)));
 }
--- a/test/relay/overload_test.cpp
+++ b/test/relay/overload_test.cpp
@@ -154,6 +154,7 @@
     };
     std::vector<test_case> const test_cases{
         {{0, {0, 0, 0}, 400}, 50},
+        {{80, {100, 100, 100}, 400}, 100},
         {{100, {80, 80, 0}, 400}, 118},
         // All is used by others: grows towards an equal share.
         {{20, {200, 180, 0}, 400}, 30},
