Let the stream limit ignore single long passes

Now a window brings 0.4 of a rise, it falls over 12 s, is at most 2.5, and windows without streams don't count.

--- a/src/relay/stream_limit.cpp
+++ b/src/relay/stream_limit.cpp
@@ -16,14 +16,17 @@
 constexpr duration max_gap = std::chrono::milliseconds{600};
 /// Time in which a higher overhead of the past decays to 1/e of its excess
 /// over the measured one.
-constexpr double decay_time_s = 20;
+constexpr double decay_time_s = 12;
+/// Part of a rise that one window brings: a single long pass, such as the first
+/// after an outage, which reads many prompts, says little about the next ones.
+constexpr double rise = 0.4;
 /// Fraction of the target gap that a mean pass may take; passes differ by the
 /// prompts that they read.
 constexpr double mean_gap_fraction = 0.93;
 /// Bounds of the overhead: with less, the slots limit the streams; with more,
 /// a rank is slow, and fewer streams hardly make its passes shorter.
 constexpr double min_overhead = 1.5;
-constexpr double max_overhead = 3.0;
+constexpr double max_overhead = 2.5;
 
 } // namespace
 
@@ -68,8 +71,10 @@
 
 void stream_limiter::update(double streams, time_point now) noexcept
 {
-    double const elapsed_s =
-        std::chrono::duration<double>(now - window_began_at_).count();
+    // Windows without streams tell nothing, and are not counted.
+    double const elapsed_s = std::chrono::duration<double>(
+                                 std::min(now - window_began_at_, 2 * window))
+                                 .count();
     window_began_at_ = now;
     double const steps_us =
         engine_.stride *
@@ -80,9 +85,10 @@
         double const gap_us = static_cast<double>(gap_sum_.count()) / gaps_;
         double const measured =
             std::clamp(gap_us / steps_us, min_overhead, max_overhead);
-        double const kept = std::exp(-elapsed_s / decay_time_s);
-        overhead_ =
-            std::max(measured, measured + (overhead_ - measured) * kept);
+        double const kept = measured > overhead_
+                                ? 1 - rise
+                                : std::exp(-elapsed_s / decay_time_s);
+        overhead_ = measured + (overhead_ - measured) * kept;
         limit_ =
             stream_limit(engine_, target_gap_, overhead_ / mean_gap_fraction);
     }
