Check a map that was restored from its difference

A group that is re-formed while its map in force is ordered again may leave an agent with another map under the same version than the coordinator: a difference to it would give one rank another map than the rest. Found by reading, not seen in a run. The difference carries a hash of the map that it leads to; an agent that restores another one drops the order, and gets the whole map next. 'a difference to another map is not applied' describes it.

--- a/include/hornbeamweir/expert_map/map_delta.hpp
+++ b/include/hornbeamweir/expert_map/map_delta.hpp
@@ -15,6 +15,9 @@
     /// Numbers of the cells in ascending order; each but the first is relative
     /// to the one before, so that it encodes in few bytes.
     std::vector<std::uint32_t> cells;
+    /// Hash of the resulting map: all ranks must use the same one, also if an
+    /// agent knows another map under the version of the base.
+    std::uint64_t result_hash = 0;
 
     [[nodiscard]] friend bool
     operator==(map_delta const&, map_delta const&) = default;
@@ -27,7 +30,8 @@
 difference_of(group_experts const& from, group_experts const& to);
 
 /// \brief Applies a difference to the map from which it was computed.
-/// \returns std::nullopt if a cell is outside the map.
+/// \returns std::nullopt if a cell is outside the map, or the result is not the
+/// map from which the difference was computed.
 [[nodiscard]] std::optional<group_experts>
 apply_delta(group_experts from, map_delta const& delta);
 
--- a/src/daemon/rank_agent_daemon.cpp
+++ b/src/daemon/rank_agent_daemon.cpp
@@ -338,8 +338,8 @@
 
     /// Records the map of a prepare order, and restores it if only the
     /// difference to an earlier one was sent.
-    /// \returns False if the earlier map is not known; the coordinator repeats
-    /// the order with the whole map.
+    /// \returns False if the earlier map is not known here, or another one; the
+    /// coordinator repeats the order with the whole map.
     [[nodiscard]] bool
     receive_map(wire::rank_order const& message, rank_order& order)
     {
@@ -351,7 +351,7 @@
                 base ? apply_delta(*base, delta_of(message)) : std::nullopt;
             if (!restored)
             {
-                event line{"map_base_unknown"};
+                event line{"map_base_differs"};
                 line.with("version", order.version)
                     .with("base", order.base_version);
                 log_.info(line);
--- a/src/expert_map/map_delta.cpp
+++ b/src/expert_map/map_delta.cpp
@@ -1,3 +1,4 @@
+#include <hornbeamweir/core/content_hash.hpp>
 #include <hornbeamweir/expert_map/map_delta.hpp>
 
 #include <algorithm>
@@ -49,6 +50,27 @@
     return out;
 }
 
+std::uint64_t hash_of(group_experts const& map)
+{
+    constexpr unsigned byte_bits = 8;
+    std::string bytes;
+    auto const append = [&](std::size_t number)
+    {
+        bytes.push_back(static_cast<char>(number));
+        bytes.push_back(static_cast<char>(number >> byte_bits));
+    };
+    for (std::vector<expert_list> const& set : map)
+    {
+        for (expert_list const& list : set)
+        {
+            append(list.size());
+            for (std::uint16_t const it : list)
+                append(it);
+        }
+    }
+    return stable_hash(bytes);
+}
+
 void toggle(expert_list& list, std::uint16_t expert)
 {
     if (std::erase(list, expert) == 0)
@@ -64,6 +86,7 @@
         return std::nullopt;
     map_delta out;
     out.stride = std::max(stride_of(from), stride_of(to));
+    out.result_hash = hash_of(to);
     std::uint32_t list = 0;
     std::uint32_t last = 0;
     for (std::size_t set = 0; set < to.size(); ++set)
@@ -106,6 +129,8 @@
         for (expert_list& list : set)
             std::sort(list.begin(), list.end());
     }
+    if (hash_of(from) != delta.result_hash)
+        return std::nullopt;
     return from;
 }
 
--- a/src/peers/rank_messages.cpp
+++ b/src/peers/rank_messages.cpp
@@ -89,6 +89,7 @@
     {
         out.set_base_version(order.base_version);
         out.set_delta_stride(delta->stride);
+        out.set_delta_result_hash(delta->result_hash);
         out.mutable_delta_cells()->Assign(
             delta->cells.begin(), delta->cells.end());
         return out;
@@ -144,8 +145,11 @@
 
 map_delta delta_of(wire::rank_order const& in)
 {
-    return {
-        in.delta_stride(), {in.delta_cells().begin(), in.delta_cells().end()}};
+    map_delta out;
+    out.stride = in.delta_stride();
+    out.cells.assign(in.delta_cells().begin(), in.delta_cells().end());
+    out.result_hash = in.delta_result_hash();
+    return out;
 }
 
 } // namespace hornbeamweir
--- a/test/expert_map/map_delta_test.cpp
+++ b/test/expert_map/map_delta_test.cpp
@@ -155,9 +155,22 @@
     group_experts smaller = base;
     smaller.pop_back();
     CHECK_FALSE(difference_of(base, smaller));
-    CHECK_FALSE(apply_delta(base, {experts, {sets * ranks * experts}}));
-    CHECK_FALSE(apply_delta(base, {0, {1}}));
-    CHECK_FALSE(apply_delta({}, {experts, {1}}));
+    CHECK_FALSE(apply_delta(base, {experts, {sets * ranks * experts}, 0}));
+    CHECK_FALSE(apply_delta(base, {0, {1}, 0}));
+    CHECK_FALSE(apply_delta({}, {experts, {1}, 0}));
+}
+
+// An agent may know another map under the same version, if its group was
+// re-formed while the map was ordered.
+TEST_CASE("a difference to another map is not applied", "[expert_map]")
+{
+    group_experts const base = initial_map();
+    group_experts const next = with_moves(base, 110);
+    std::optional<map_delta> const delta = difference_of(base, next);
+    REQUIRE(delta);
+    CHECK(apply_delta(base, *delta) == std::optional{next});
+    CHECK_FALSE(apply_delta(with_moves(base, 1), *delta));
+    CHECK_FALSE(apply_delta(next, *delta));
 }
 
 // The coordinator's link carries 1 KB in a millisecond. With whole maps, the
