Report starts of requests to other entries at once

Found on the way, all work that grows with entries times replicas at each request: candidates_for added up the counts of all entries for all replicas, and usable() compared all replicas with each other (134 squared address comparisons, several times a request). Sums are kept up to date instead, usable replicas are found when the directory changes.

Also adds counts of datagrams and bytes by kind and direction (peer_traffic, hornbeamweir_datagrams_total, hornbeamweir_datagram_bytes_total), which no counter told.

--- a/bench/lock_step_bench.cpp
+++ b/bench/lock_step_bench.cpp
@@ -1,3 +1,4 @@
+#include <hornbeamweir/relay/load_report_schedule.hpp>
 #include <hornbeamweir/relay/relay_core.hpp>
 
 #include "lock_step/callers.hpp"
@@ -25,7 +26,6 @@
 constexpr duration run_time = std::chrono::seconds{34};
 constexpr duration resolution = milliseconds{1};
 constexpr duration tick_interval = milliseconds{20};
-constexpr duration exchange_interval = milliseconds{100};
 /// Demand for experts changes this often, and the skew rises until the map
 /// that follows is in force.
 constexpr duration change_interval = milliseconds{2530};
@@ -136,8 +136,7 @@
             run_group();
             if ((now_ - time_point{}) % tick_interval == duration::zero())
                 tick();
-            if ((now_ - time_point{}) % exchange_interval == duration::zero())
-                exchange_loads();
+            exchange_loads();
             now_ += resolution;
         }
         return totals_;
@@ -315,13 +314,17 @@
     {
         for (std::size_t from = 0; from < entries; ++from)
         {
+            replica_load_tracker const& loads = cores_[from]->loads();
+            if (!schedules_[from].is_due(loads, now_))
+                continue;
+            schedules_[from].on_reported(loads, now_);
             for (std::size_t to = 0; to < entries; ++to)
             {
                 if (from == to)
                     continue;
                 cores_[to]->loads().on_peer_load(
                     process_name{std::to_string(from)},
-                    cores_[from]->loads().local_in_flight(),
+                    loads.local_in_flight(),
                     now_);
             }
         }
@@ -334,6 +337,7 @@
     metrics_registry metrics_;
     engine_group group_;
     std::vector<std::unique_ptr<relay::relay_core>> cores_;
+    std::array<load_report_schedule, entries> schedules_;
     /// Open requests by exchange, with their entry.
     std::map<std::uint64_t, std::pair<std::size_t, caller_request>> callers_;
     std::map<std::uint64_t, std::uint32_t> attempts_;
--- a/include/hornbeamweir/peers/datagram_link.hpp
+++ b/include/hornbeamweir/peers/datagram_link.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <hornbeamweir/peers/datagram_traffic.hpp>
 #include <hornbeamweir/peers/stale_datagram_filter.hpp>
 #include <hornbeamweir/telemetry/metrics_registry.hpp>
 
@@ -44,6 +45,10 @@
     /// \brief Sends a datagram, with this process as its sender.
     void send(endpoint const& to, wire::datagram message);
 
+    /// \brief Adds the traffic since the last call to the metrics.
+    /// \param log Receives a line about it; null for none.
+    void write_traffic(event_log* log) { traffic_.write(metrics_, log); }
+
 private:
     /// Maximum size of a datagram in bytes.
     static constexpr std::size_t max_size = std::size_t{60} * 1024;
@@ -57,6 +62,7 @@
     std::uint64_t incarnation_;
     std::uint64_t sequence_ = 0;
     stale_datagram_filter filter_;
+    datagram_traffic traffic_;
     metrics_registry& metrics_;
     handler received_;
     endpoint from_;
--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -209,7 +209,7 @@
     void update_share(
         service_name const& name, service_state& state, time_point now) const;
     [[nodiscard]] service_occupancy
-    occupancy_of(service_name const& name, time_point now) const;
+    occupancy_of(service_name const& name) const;
     void retry_or_fail(
         request_iterator it,
         bool may_have_run,
--- a/include/hornbeamweir/relay/replica_load_tracker.hpp
+++ b/include/hornbeamweir/relay/replica_load_tracker.hpp
@@ -5,6 +5,7 @@
 #include <hornbeamweir/replicas/replica.hpp>
 
 #include <map>
+#include <unordered_map>
 #include <vector>
 
 namespace hornbeamweir
@@ -32,7 +33,7 @@
     /// loss of some messages.
     static constexpr duration max_report_age = std::chrono::milliseconds{1500};
 
-    void on_attempt_started(backend_server_id const& id) { ++local_[id]; }
+    void on_attempt_started(backend_server_id const& id);
     void on_attempt_ended(backend_server_id const& id);
 
     /// \brief Replaces the counts of another entry.
@@ -40,11 +41,18 @@
         process_name const& peer,
         std::map<backend_server_id, std::uint32_t> loads,
         time_point now);
+    /// \brief Drops the counts of entries that have not reported within
+    /// max_report_age.
+    void expire(time_point now);
     void on_rank_status(backend_server_id const& id, rank_status status);
 
     /// \returns The number of open requests of all entries at a replica.
-    [[nodiscard]] std::uint32_t
-    in_flight(backend_server_id const& id, time_point now) const;
+    [[nodiscard]] std::uint32_t in_flight(backend_server_id const& id) const;
+
+    /// \returns Number of attempts started by this entry so far.
+    [[nodiscard]] std::uint64_t started() const noexcept { return started_; }
+    /// \returns Number of attempts of this entry that have ended so far.
+    [[nodiscard]] std::uint64_t ended() const noexcept { return ended_; }
 
     /// \returns The number of open requests of this entry at a replica.
     [[nodiscard]] std::uint32_t own_in_flight(backend_server_id const& id) const
@@ -80,7 +88,14 @@
         time_point received_at{};
     };
 
+    void subtract(std::map<backend_server_id, std::uint32_t> const& loads);
+
     std::map<backend_server_id, std::uint32_t> local_;
+    std::uint64_t started_ = 0;
+    std::uint64_t ended_ = 0;
+    /// Sums of the counts of other entries: requests are placed far more often
+    /// than in a large fleet the counts of all entries could be added up.
+    std::unordered_map<backend_server_id, std::uint32_t> of_peers_;
     std::map<process_name, peer_load> peers_;
     std::map<backend_server_id, rank_status> ranks_;
 };
--- a/include/hornbeamweir/replicas/replica_directory.hpp
+++ b/include/hornbeamweir/replicas/replica_directory.hpp
@@ -39,7 +39,7 @@
 
     /// \returns The replicas of a service that are not draining, not superseded
     /// by a newer one at their address and not reported as misdirected.
-    [[nodiscard]] std::vector<replica const*>
+    [[nodiscard]] std::vector<replica const*> const&
     usable(service_name const& service) const;
 
     [[nodiscard]] replica const* find(backend_server_id const& id) const;
@@ -51,9 +51,14 @@
     [[nodiscard]] std::size_t size() const noexcept { return replicas_.size(); }
 
 private:
-    [[nodiscard]] bool is_superseded(replica const& it) const;
+    void find_usable();
 
     std::map<backend_server_id, replica> replicas_;
+    /// See usable(). Many requests are placed between two changes, so the
+    /// replicas are compared with each other only at a change.
+    std::map<service_name, std::vector<replica const*>> usable_;
+    /// Newest replica of each address.
+    std::map<std::string, replica const*, std::less<>> newest_at_;
     /// Replicas that were not found at their address, and when.
     std::map<backend_server_id, time_point> misdirected_;
     time_point last_read_{};
--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -3,6 +3,7 @@
 #include <hornbeamweir/daemon/relay_daemon.hpp>
 #include <hornbeamweir/peers/datagram_link.hpp>
 #include <hornbeamweir/peers/peer_registry.hpp>
+#include <hornbeamweir/relay/load_report_schedule.hpp>
 #include <hornbeamweir/replicas/replica_watcher.hpp>
 #include <hornbeamweir/routes/route_configuration_watcher.hpp>
 #include <hornbeamweir/telemetry/console_log.hpp>
@@ -21,8 +22,7 @@
 {
 
 constexpr std::string_view entry_role = "entry";
-/// Interval at which entries exchange their numbers of open requests.
-constexpr duration load_interval = std::chrono::milliseconds{100};
+constexpr duration traffic_interval = std::chrono::seconds{1};
 /// Interval at which the settings file is checked for changes made without a
 /// signal.
 constexpr duration settings_check_interval = std::chrono::seconds{2};
@@ -98,7 +98,7 @@
         , log_{settings_.log, settings_.name.str()}
         , random_{system_seed()}
         , core_{make_core_settings(settings_), log_, metrics_, random_source{random_.next()}}
-        , exchanges_{loop_.context(), core_, codec_, suspend_aware_now}
+        , exchanges_{loop_.context(), core_, codec_, suspend_aware_now, [this] { report_loads(); }}
         , callers_{loop_.context(), settings_.callers_address, make_http_limits({}), [this](std::shared_ptr<http_exchange> exchange, http_request_message request) { exchanges_.accept(std::move(exchange), std::move(request)); }, reject_unreadable_request}
         , readiness_{loop_.context(), settings_.readiness_address, http_limits{}, [this](std::shared_ptr<http_exchange> exchange, http_request_message const& request) { handle_readiness_request(*exchange, request); }, reject_unreadable_request}
         , admin_{loop_.context(), settings_.metrics_address, metrics_, admin_pages{[this] { return ready(); }, [this] { return status(); }, {}}}
@@ -134,8 +134,12 @@
     {
         time_point const now = suspend_aware_now();
         exchanges_.apply(core_.on_tick(now));
-        if (now - loads_sent_at_ >= load_interval)
-            send_loads(now);
+        report_loads();
+        if (now - traffic_written_at_ >= traffic_interval)
+        {
+            traffic_written_at_ = now;
+            link_.write_traffic(&log_);
+        }
         if (now - settings_checked_at_ >= settings_check_interval)
         {
             settings_checked_at_ = now;
@@ -185,9 +189,12 @@
         }
     }
 
-    void send_loads(time_point now)
+    void report_loads()
     {
-        loads_sent_at_ = now;
+        time_point const now = suspend_aware_now();
+        if (!load_reports_.is_due(core_.loads(), now))
+            return;
+        load_reports_.on_reported(core_.loads(), now);
         wire::datagram message;
         for (auto const& [id, n] : core_.loads().local_in_flight())
         {
@@ -330,8 +337,9 @@
     replica_watcher replicas_;
     peer_registry registry_;
     datagram_link link_;
-    time_point loads_sent_at_{};
+    load_report_schedule load_reports_;
     time_point settings_checked_at_{};
+    time_point traffic_written_at_{};
     time_point drain_began_at_{};
     bool draining_ = false;
     bool was_ready_ = false;
--- a/src/daemon/relay_exchanges.cpp
+++ b/src/daemon/relay_exchanges.cpp
@@ -40,10 +40,12 @@
     boost::asio::io_context& context,
     relay::relay_core& core,
     relay_codec const& codec,
-    time_point (*clock)() noexcept)
+    time_point (*clock)() noexcept,
+    std::function<void()> attempts_opened)
     : core_{core}
     , codec_{codec}
     , clock_{clock}
+    , attempts_opened_{std::move(attempts_opened)}
     , pool_{context, max_idle_connections}
 {
 }
@@ -66,8 +68,14 @@
 
 void relay_exchanges::apply(relay::actions decided)
 {
+    bool opened = false;
     for (relay::action& it : decided)
+    {
+        opened = opened || std::holds_alternative<relay::open_attempt>(it);
         std::visit([this](auto& chosen) { perform(chosen); }, it);
+    }
+    if (opened)
+        attempts_opened_();
 }
 
 void relay_exchanges::perform(relay::open_attempt const& it)
--- a/src/daemon/relay_exchanges.hpp
+++ b/src/daemon/relay_exchanges.hpp
@@ -5,6 +5,7 @@
 #include <hornbeamweir/relay/relay_codec.hpp>
 #include <hornbeamweir/relay/relay_core.hpp>
 
+#include <functional>
 #include <unordered_map>
 
 namespace hornbeamweir
@@ -15,11 +16,13 @@
 class relay_exchanges
 {
 public:
+    /// \param attempts_opened Called after attempts have been opened.
     relay_exchanges(
         boost::asio::io_context& context,
         relay::relay_core& core,
         relay_codec const& codec,
-        time_point (*clock)() noexcept);
+        time_point (*clock)() noexcept,
+        std::function<void()> attempts_opened);
 
     /// \brief Starts to relay a caller's request.
     void accept(
@@ -59,6 +62,7 @@
     relay::relay_core& core_;
     relay_codec const& codec_;
     time_point (*clock_)() noexcept;
+    std::function<void()> attempts_opened_;
     connection_pool pool_;
     std::unordered_map<exchange_id, open_exchange> exchanges_;
     exchange_id last_id_ = 0;
--- a/src/peers/datagram_link.cpp
+++ b/src/peers/datagram_link.cpp
@@ -29,6 +29,8 @@
     message.set_incarnation(incarnation_);
     message.set_sequence(++sequence_);
     std::string const bytes = message.SerializeAsString();
+    traffic_.on_datagram(
+        datagram_traffic::direction::sent, message, bytes.size());
     // A datagram that the socket cannot accept is dropped, as on a lossy
     // network.
     boost::system::error_code ignored;
@@ -60,6 +62,7 @@
             {{"reason", "undecodable"}});
         return;
     }
+    traffic_.on_datagram(datagram_traffic::direction::received, message, size);
     if (filter_.is_newest(message))
         received_(from_, message);
     else
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -58,7 +58,7 @@
             continue;
         out.push_back(
             {it,
-             loads_.in_flight(it->id, now),
+             loads_.in_flight(it->id),
              std::min(it->slots, limit),
              status.slowdown,
              failures_.score_of(it->id, now)});
@@ -305,6 +305,7 @@
 actions relay_core::on_tick(time_point now)
 {
     actions out;
+    loads_.expire(now);
     for (auto& [name, state] : services_)
     {
         for (queued_request const& expired : state.queue.expire(now))
@@ -338,14 +339,13 @@
     state.share.update(counts, now);
 }
 
-service_occupancy
-relay_core::occupancy_of(service_name const& name, time_point now) const
+service_occupancy relay_core::occupancy_of(service_name const& name) const
 {
     service_occupancy out;
     for (replica const* it : directory_.usable(name))
     {
         ++out.replicas;
-        out.all_requests += loads_.in_flight(it->id, now);
+        out.all_requests += loads_.in_flight(it->id);
         out.own_requests += loads_.own_in_flight(it->id);
     }
     return out;
@@ -359,7 +359,7 @@
         bool const log_due = state.activity.is_due(now);
         if (!limit_due && !log_due)
             continue;
-        service_occupancy occupancy = occupancy_of(name, now);
+        service_occupancy occupancy = occupancy_of(name);
         if (limit_due && occupancy.replicas > 0)
             state.limiter->update(
                 static_cast<double>(occupancy.all_requests) /
--- a/src/relay/replica_load_tracker.cpp
+++ b/src/relay/replica_load_tracker.cpp
@@ -3,10 +3,19 @@
 namespace hornbeamweir
 {
 
+void replica_load_tracker::on_attempt_started(backend_server_id const& id)
+{
+    ++local_[id];
+    ++started_;
+}
+
 void replica_load_tracker::on_attempt_ended(backend_server_id const& id)
 {
     auto const it = local_.find(id);
-    if (it != local_.end() && --it->second == 0)
+    if (it == local_.end())
+        return;
+    ++ended_;
+    if (--it->second == 0)
         local_.erase(it);
 }
 
@@ -15,7 +24,34 @@
     std::map<backend_server_id, std::uint32_t> loads,
     time_point now)
 {
-    peers_[peer] = {std::move(loads), now};
+    peer_load& it = peers_[peer];
+    subtract(it.loads);
+    std::erase_if(loads, [](auto const& load) { return load.second == 0; });
+    for (auto const& [id, n] : loads)
+        of_peers_[id] += n;
+    it = {std::move(loads), now};
+}
+
+void replica_load_tracker::subtract(
+    std::map<backend_server_id, std::uint32_t> const& loads)
+{
+    for (auto const& [id, n] : loads)
+    {
+        auto const it = of_peers_.find(id);
+        if ((it->second -= n) == 0)
+            of_peers_.erase(it);
+    }
+}
+
+void replica_load_tracker::expire(time_point now)
+{
+    for (auto& [name, peer] : peers_)
+    {
+        if (peer.loads.empty() || now - peer.received_at <= max_report_age)
+            continue;
+        subtract(peer.loads);
+        peer.loads.clear();
+    }
 }
 
 void replica_load_tracker::on_rank_status(
@@ -24,18 +60,10 @@
     ranks_[id] = status;
 }
 
-std::uint32_t replica_load_tracker::in_flight(
-    backend_server_id const& id, time_point now) const
+std::uint32_t replica_load_tracker::in_flight(backend_server_id const& id) const
 {
-    auto const local = local_.find(id);
-    std::uint32_t total = local == local_.end() ? 0 : local->second;
-    for (auto const& [name, peer] : peers_)
-    {
-        auto const it = peer.loads.find(id);
-        if (it != peer.loads.end() && now - peer.received_at <= max_report_age)
-            total += it->second;
-    }
-    return total;
+    auto const it = of_peers_.find(id);
+    return own_in_flight(id) + (it == of_peers_.end() ? 0 : it->second);
 }
 
 std::vector<std::uint32_t> replica_load_tracker::peers_in_flight(
--- a/src/replicas/replica_directory.cpp
+++ b/src/replicas/replica_directory.cpp
@@ -44,6 +44,7 @@
             changes.push_back({old, "removed"});
     }
     replicas_ = std::move(snapshot);
+    find_usable();
     return changes;
 }
 
@@ -51,49 +52,44 @@
     backend_server_id const& id, time_point now)
 {
     misdirected_[id] = now;
+    find_usable();
 }
 
 // The registration of a crashed replica remains until it expires, so a
 // restarted replica may be registered at the same address.
-bool replica_directory::is_superseded(replica const& it) const
+void replica_directory::find_usable()
 {
-    return std::any_of(
-        replicas_.begin(),
-        replicas_.end(),
-        [&](auto const& other)
-        {
-            return other.second.address == it.address &&
-                   other.second.registration_revision >
-                       it.registration_revision;
-        });
+    usable_.clear();
+    newest_at_.clear();
+    for (auto const& [id, it] : replicas_)
+    {
+        replica const*& newest = newest_at_[it.address];
+        if (!newest || it.registration_revision > newest->registration_revision)
+            newest = &it;
+    }
+    for (auto const& [id, it] : replicas_)
+    {
+        bool const is_superseded =
+            newest_at_[it.address]->registration_revision >
+            it.registration_revision;
+        if (!it.draining && !misdirected_.contains(id) && !is_superseded)
+            usable_[it.service].push_back(&it);
+    }
 }
 
-std::vector<replica const*>
+std::vector<replica const*> const&
 replica_directory::usable(service_name const& service) const
 {
-    std::vector<replica const*> out;
-    for (auto const& [id, it] : replicas_)
-    {
-        bool const is_usable =
-            !it.draining && !misdirected_.contains(id) && !is_superseded(it);
-        if (it.service == service && is_usable)
-            out.push_back(&it);
-    }
-    return out;
+    static std::vector<replica const*> const none;
+    auto const it = usable_.find(service);
+    return it == usable_.end() ? none : it->second;
 }
 
 replica const*
 replica_directory::find_by_address(std::string const& address) const
 {
-    replica const* latest = nullptr;
-    for (auto const& [id, it] : replicas_)
-    {
-        bool const is_newer =
-            !latest || it.registration_revision > latest->registration_revision;
-        if (it.address == address && is_newer)
-            latest = &it;
-    }
-    return latest;
+    auto const it = newest_at_.find(address);
+    return it == newest_at_.end() ? nullptr : it->second;
 }
 
 replica const* replica_directory::find(backend_server_id const& id) const
