Leave replicas alone that leave or ask for a pause

Server-Leaving: 1 in an answer excludes its replica at this entry until it registers anew (a higher created revision under its id); Retry-After with a 503 excludes it for that time, by the clock that counts suspension, plus up to a fifth at random, so that entries return spread. Exclusion holds for new requests, retries, resumed streams and those that wait in the queue, as the replica is chosen when a request is sent. While all replicas of a service have asked for a pause, requests and the queue are rejected at once, not run, with a Retry-After of at least that pause.

Ruled out: ending the exclusion of a leaving replica after a time (a guess), or by its registration's state, which some replicas never change.

--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -4,6 +4,7 @@
 #include <hornbeamweir/relay/event_splitter.hpp>
 #include <hornbeamweir/relay/relay_action.hpp>
 #include <hornbeamweir/relay/replica_chooser.hpp>
+#include <hornbeamweir/relay/replica_exclusions.hpp>
 #include <hornbeamweir/relay/replica_load_tracker.hpp>
 #include <hornbeamweir/relay/retry_after_planner.hpp>
 #include <hornbeamweir/relay/retry_budget_share.hpp>
@@ -196,6 +197,20 @@
     /// may wait for one, which is zero or negative in a long outage.
     [[nodiscard]] std::optional<duration>
     outage_wait(request_state const& request, time_point now);
+    /// \returns Empty if any replica may get a request; otherwise the time
+    /// until the first one may that has asked to be left alone.
+    [[nodiscard]] std::optional<duration>
+    backoff_of(service_name const& name, time_point now) const;
+    void reject_for_backoff(
+        request_iterator it, duration delay, time_point now, actions& out);
+    /// Rejects queued requests that would wait for longer than they may.
+    void reject_queued_for_backoff(
+        service_state& state, duration delay, time_point now, actions& out);
+    /// Records what a replica says about itself in a response.
+    void observe_replica(
+        request_state const& request,
+        replica_response_head const& head,
+        time_point now);
     void enqueue(request_iterator it, time_point now, actions& out);
     void dispatch(service_name const& name, time_point now, actions& out);
     void dispatch_all(time_point now, actions& out);
@@ -239,6 +254,10 @@
         std::optional<rejection_reason> reason,
         time_point now,
         actions& out);
+    /// Ends a request with an error.
+    /// \param response What remains to be filled in is the request.
+    void send_rejection(
+        request_iterator it, send_error response, time_point now, actions& out);
     /// Rejects a request that resolve() did not accept.
     void reject(
         request_iterator it,
@@ -266,6 +285,7 @@
     replica_directory directory_;
     replica_load_tracker loads_;
     failure_tracker failures_;
+    replica_exclusions exclusions_;
     replica_chooser chooser_;
     retry_after_planner retry_after_;
     bool closed_ = false;
--- a/include/hornbeamweir/relay/relay_request.hpp
+++ b/include/hornbeamweir/relay/relay_request.hpp
@@ -61,6 +61,10 @@
     /// Id of the replica that caused the failure, if the response names one;
     /// otherwise empty.
     std::string faulty_replica;
+    /// Whether the replica states that it is about to stop.
+    bool is_leaving = false;
+    /// Time for which the replica wants no requests; set only with a 503.
+    std::optional<duration> retry_after;
     header_list headers;
 
     [[nodiscard]] friend bool operator==(
--- a/include/hornbeamweir/relay/retry_after_planner.hpp
+++ b/include/hornbeamweir/relay/retry_after_planner.hpp
@@ -33,6 +33,10 @@
     /// \returns The delay; at least zero.
     [[nodiscard]] duration plan(rejection_reason reason, duration time_left);
 
+    /// \brief Delay of a request that can't be served for a known time.
+    /// \returns At least that time, also if the caller can't wait for so long.
+    [[nodiscard]] duration plan_after(duration unavailable);
+
 private:
     random_source random_;
 };
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -27,6 +27,7 @@
     , log_{log}
     , metrics_{metrics}
     , random_{random}
+    , exclusions_{random_source{random_.next()}}
     , chooser_{random_source{random_.next()}}
     , retry_after_{random_source{random_.next()}}
 {
@@ -170,10 +171,8 @@
     time_point now,
     actions& out)
 {
-    request_state& request = it->second;
+    request_state const& request = it->second;
     send_error response;
-    response.exchange = it->first;
-    response.id = request.message.id;
     response.code = code;
     response.state = state;
     response.detail = std::move(detail);
@@ -184,6 +183,16 @@
         response.close_connection =
             *reason == rejection_reason::try_another_entry;
     }
+    send_rejection(it, std::move(response), now, out);
+}
+
+void relay_core::send_rejection(
+    request_iterator it, send_error response, time_point now, actions& out)
+{
+    request_state& request = it->second;
+    response.exchange = it->first;
+    response.id = request.message.id;
+    result_code const code = response.code;
     request.status = http_status_of(code);
     request.last_failure = response.detail;
     out.push_back(std::move(response));
--- a/src/relay/retry_after_planner.cpp
+++ b/src/relay/retry_after_planner.cpp
@@ -27,6 +27,14 @@
 
 } // namespace
 
+duration retry_after_planner::plan_after(duration unavailable)
+{
+    constexpr duration spread = milliseconds{1000};
+    return unavailable +
+           duration{static_cast<duration::rep>(
+               static_cast<double>(spread.count()) * random_.unit())};
+}
+
 duration retry_after_planner::plan(rejection_reason reason, duration time_left)
 {
     retry_window const& window =
