Spend fewer calls on who leads a group and who its processes are

Counted from the mechanisms: 129 agents that campaign while the coordinator's beats are lost read the election's keys once or twice a second each, some half of all calls; 181 processes read all registrations each 8 s.

Change: in groups of more than 12 ranks a twelfth of the agents are candidates; the others campaign 2 s later. They, the registrations of processes and a new coordinator's list of ranks use reads that may be some seconds old, which cost a tenth. An election stays safe: the commit is conditional on the revisions that were read.

Ruled out: such reads for the registry of replicas, whose age DRAIN bounds.

--- a/include/hornbeamweir/peers/leadership.hpp
+++ b/include/hornbeamweir/peers/leadership.hpp
@@ -32,7 +32,9 @@
 
     /// \brief Sets the key prefix of the election in the store; the process
     /// campaigns once it is set.
-    void set_key(std::string key);
+    /// \param standby_delay Additional time for which this process leaves
+    /// campaigns to others.
+    void set_key(std::string key, duration standby_delay = {});
 
     /// \brief Stores a record about this leader, which later leaders read.
     /// \remarks Does nothing if this process does not lead, the record is
@@ -100,6 +102,7 @@
     random_source random_;
     std::string holder_;
     std::string key_;
+    duration standby_delay_{};
     std::string previous_record_;
     /// Revision of previous_record_; 0 if there was none.
     std::int64_t previous_revision_ = 0;
--- a/include/hornbeamweir/platform/platform.hpp
+++ b/include/hornbeamweir/platform/platform.hpp
@@ -120,6 +120,14 @@
     /// \brief Reads all keys with a prefix.
     virtual void read_prefix(std::string prefix, handler<range_reply> done) = 0;
 
+    /// \brief Reads all keys with a prefix as they are now or were some seconds
+    /// ago, which costs the service less where it makes a difference.
+    virtual void
+    read_prefix_recent(std::string prefix, handler<range_reply> done)
+    {
+        read_prefix(std::move(prefix), std::move(done));
+    }
+
     /// \brief Reads one key; the reply has no value if it is absent.
     virtual void read(std::string key, handler<range_reply> done) = 0;
 
--- a/src/daemon/group_coordination.cpp
+++ b/src/daemon/group_coordination.cpp
@@ -25,6 +25,16 @@
 /// demand 3 is usual.
 constexpr double outdated_skew = 1.8;
 
+// In a large group a few agents, spread over its ranks, suffice as candidates;
+// if all campaigned, each failover would cost as many calls as there are ranks.
+duration standby_delay(rank_state const& state)
+{
+    constexpr std::uint32_t candidates = 12;
+    constexpr duration delay = std::chrono::seconds{2};
+    std::uint32_t const stride = std::max(1U, state.ranks / candidates);
+    return state.rank % stride == 0 ? duration{} : delay;
+}
+
 std::optional<std::uint32_t> parse_rank(std::string const& record)
 {
     std::uint32_t out = 0;
@@ -64,7 +74,9 @@
     group_ = state.group;
     rank_ = state.rank;
     service_ = service;
-    leadership_.set_key("hornbeamweir/groups/" + group_.str() + "/coordinator");
+    leadership_.set_key(
+        "hornbeamweir/groups/" + group_.str() + "/coordinator",
+        standby_delay(state));
 }
 
 void group_coordination::on_coordinator_heartbeat(
@@ -248,7 +260,7 @@
 // are known only by their registrations.
 void group_coordination::read_replicas()
 {
-    platform_.read_prefix(
+    platform_.read_prefix_recent(
         records_.replica_prefix(),
         [this, weak = std::weak_ptr{alive_}](result<range_reply> const& reply)
         {
--- a/src/peers/leadership.cpp
+++ b/src/peers/leadership.cpp
@@ -43,15 +43,16 @@
 {
     double const jitter =
         static_cast<double>(max_campaign_jitter.count()) * random_.unit();
-    next_action_ =
-        clock_() + min_delay + duration{static_cast<duration::rep>(jitter)};
+    next_action_ = clock_() + min_delay + standby_delay_ +
+                   duration{static_cast<duration::rep>(jitter)};
 }
 
-void leadership::set_key(std::string key)
+void leadership::set_key(std::string key, duration standby_delay)
 {
     if (key == key_)
         return;
     key_ = std::move(key);
+    standby_delay_ = standby_delay;
     schedule_campaign({});
 }
 
@@ -133,13 +134,18 @@
 void leadership::campaign()
 {
     call_pending_ = true;
-    platform_.read_prefix(
-        key_,
+    platform::handler<range_reply> const done =
         [this, weak = std::weak_ptr{alive_}](result<range_reply> const& reply)
-        {
-            if (!weak.expired())
-                on_read(reply);
-        });
+    {
+        if (!weak.expired())
+            on_read(reply);
+    };
+    // The commit checks what was read, so that an older state costs only time,
+    // which does not matter while others campaign.
+    if (standby_delay_ > duration::zero())
+        platform_.read_prefix_recent(key_, done);
+    else
+        platform_.read_prefix(key_, done);
 }
 
 void leadership::on_read(result<range_reply> const& reply)
--- a/src/peers/peer_registry.cpp
+++ b/src/peers/peer_registry.cpp
@@ -127,7 +127,7 @@
 
 void peer_registry::read()
 {
-    platform_.read_prefix(
+    platform_.read_prefix_recent(
         std::string{prefix},
         [this, weak = std::weak_ptr{alive_}](result<range_reply> const& reply)
         {
