Change maps in groups of 129 ranks on thin links

It ordered each of 129 ranks to prepare the map in force, whole, some 13 KB each, 1.7 MB on a link of 6 Mbit/s, which takes 2.3 s of it; the timeout was 1.5 s, after which all began anew with another version, and renewals and beats waited behind these bytes. Its processor was bound too: for each order a difference was computed and the map copied twice, and for each report, 860 a second at least, the map in force was put together again.

Change, each for one cause: - An idle group is not cleared: while no pass is held and no rank armed, late arm orders find that their pass has begun, and the next change, prepared by all ranks with a higher fence, shuts out the rest. Reports must be from 250 ms after the election. - First maps are sent as the difference to the initial map, which agents derive from the group's shape; the hash in the order decides. - Prepare orders go to six agents, which pass them on to six each; repeats go directly, first to ranks that have none, the whole map only after two differences. - What orders may take of the link is computed from its rate (a new setting, from the platform) and their size; repeats, reports without news and the age at which an agent counts as silent grow with the ranks. - Maps, differences and the map in force are computed once and shared; reports run the state machine only while a switch waits for them. - from_wire divided by zero lists a set, and an order without a map was dereferenced: one malformed datagram ended an agent. Such orders are dropped and logged.

--- a/include/hornbeamweir/expert_map/hold_coordinator.hpp
+++ b/include/hornbeamweir/expert_map/hold_coordinator.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <hornbeamweir/expert_map/rank_state.hpp>
+#include <hornbeamweir/expert_map/map_delta.hpp>
 #include <hornbeamweir/telemetry/event_log.hpp>
 
 #include <map>
@@ -39,8 +39,12 @@
         clearing
     };
 
-    explicit hold_coordinator(event_log& log)
+    /// \param link_megabits_per_second Rate of the link over which orders are
+    /// sent; maps use half of it, so that reports and renewals get through.
+    explicit hold_coordinator(
+        event_log& log, double link_megabits_per_second = 8)
         : log_{log}
+        , link_megabits_per_second_{link_megabits_per_second}
     {
     }
 
@@ -59,13 +63,13 @@
 
     /// \brief Records the contents of a map that this or another coordinator
     /// has ordered ranks to prepare.
-    void on_map_ordered(std::uint64_t version, group_experts mapping);
+    void on_map_ordered(std::uint64_t version, shared_experts mapping);
 
     /// \returns A map recorded by on_map_ordered(); null if unknown.
     [[nodiscard]] group_experts const* ordered_map(std::uint64_t version) const
     {
         auto const it = ordered_maps_.find(version);
-        return it == ordered_maps_.end() ? nullptr : &it->second;
+        return it == ordered_maps_.end() ? nullptr : it->second.get();
     }
 
     /// \brief Stops coordinating; the next coordinator cleans up.
@@ -92,13 +96,14 @@
     /// \returns Null if no map is being copied.
     [[nodiscard]] group_experts const* preparing_map() const noexcept
     {
-        return leading_ && phase_ == phase::preparing ? &mapping_ : nullptr;
+        return leading_ && phase_ == phase::preparing ? mapping_.get()
+                                                      : nullptr;
     }
 
     /// \brief The map in force.
-    /// \returns std::nullopt unless all ranks have last reported the same
-    /// version and its experts are known.
-    [[nodiscard]] std::optional<group_experts> in_force() const;
+    /// \returns Null unless all ranks have last reported the same version and
+    /// its experts are known.
+    [[nodiscard]] shared_experts in_force() const;
 
     /// \brief Whether a report of every rank of the group was received.
     [[nodiscard]] bool all_ranks_reported() const;
@@ -151,15 +156,18 @@
         std::uint64_t step = 0;
         std::uint64_t expected_orders = 0;
         time_point sent_at{};
+        /// Number of times that it was sent.
+        int times = 0;
     };
 
     /// How the map of a prepare order is sent to an agent.
-    struct prepare_order_size
+    struct prepare_encoding
     {
-        /// Map to which only the difference is sent; 0 for the whole map.
+        /// Difference to the map of a version; null to send the whole map.
+        std::shared_ptr<map_delta const> delta;
         std::uint64_t base_version = 0;
-        /// Time that a slow link takes for the order.
-        duration interval{};
+        /// Time that the part of the link for maps takes for the order.
+        duration transfer_time{};
     };
 
     using orders = std::vector<rank_order>;
@@ -181,9 +189,18 @@
 
     [[nodiscard]] std::uint64_t order_fence() const noexcept;
     [[nodiscard]] bool admit_prepare_order(duration interval, time_point now);
+    /// Time that the part of the link for maps takes for some bytes.
+    [[nodiscard]] duration transfer_time(double bytes) const noexcept;
+    [[nodiscard]] prepare_encoding whole_map() const;
     /// \param accepted_version Map that the rank's agent has passed on.
-    [[nodiscard]] prepare_order_size
-    size_of_prepare(std::uint64_t accepted_version);
+    [[nodiscard]] prepare_encoding
+    encoding_of_prepare(rank_state const& state, int times_sent);
+    [[nodiscard]] prepare_encoding
+    difference_to(std::uint64_t base_version, group_experts const& base) const;
+    [[nodiscard]] shared_experts assemble_in_force() const;
+    /// Whether recent reports of all ranks show neither a held pass nor an
+    /// armed rank.
+    [[nodiscard]] bool has_nothing_to_clear(time_point now) const;
 
     void enter(phase next, std::string_view reason, time_point now);
     void order(
@@ -195,6 +212,9 @@
         orders& out);
 
     void order_prepare(std::uint32_t rank, time_point now, orders& out);
+    void order_prepare(
+        std::vector<std::uint32_t> const& ranks, time_point now, orders& out);
+    [[nodiscard]] duration clearing_timeout() const;
     void run_idle(time_point now, orders& out);
     void run_preparing(time_point now, orders& out);
     void run_holding(time_point now, orders& out);
@@ -208,18 +228,23 @@
         orders& out);
 
     event_log& log_;
+    double link_megabits_per_second_;
     bool leading_ = false;
     std::uint64_t fence_ = 0;
     std::uint32_t local_rank_ = 0;
     /// Rank on the VM of the previous coordinator.
     std::optional<std::uint32_t> previous_local_rank_;
     /// Recently ordered maps, by version.
-    std::map<std::uint64_t, group_experts> ordered_maps_;
+    std::map<std::uint64_t, shared_experts> ordered_maps_;
     std::map<std::uint32_t, rank_view> views_;
     std::map<std::uint32_t, sent_order> sent_;
-    /// Sizes of the prepare orders of this phase, by the version that an agent
-    /// has accepted.
-    std::map<std::uint64_t, prepare_order_size> prepare_sizes_;
+    /// Encodings of the prepare orders of this phase, by the version that an
+    /// agent knows.
+    std::map<std::uint64_t, prepare_encoding> prepare_encodings_;
+    /// The map in force as reported by the ranks, with its epoch and version.
+    mutable shared_experts assembled_;
+    mutable std::uint64_t assembled_epoch_ = 0;
+    mutable std::uint64_t assembled_version_ = 0;
     phase phase_ = phase::idle;
     time_point phase_entered_{};
     /// No orders are sent before this time.
@@ -233,7 +258,7 @@
     std::uint64_t last_version_ = 0;
     /// Changes of maps and phases of clearing started by this coordinator.
     std::uint64_t change_count_ = 0;
-    group_experts mapping_;
+    shared_experts mapping_;
     /// Ranks that have executed an order of the phase clearing.
     std::set<std::uint32_t> cleared_;
     /// Whether a disarm order was sent in the phase clearing.
--- a/include/hornbeamweir/expert_map/map_delta.hpp
+++ b/include/hornbeamweir/expert_map/map_delta.hpp
@@ -29,6 +29,21 @@
 [[nodiscard]] std::optional<map_delta>
 difference_of(group_experts const& from, group_experts const& to);
 
+/// \brief Numbers of sets, ranks and experts of a group.
+struct group_shape
+{
+    std::uint32_t sets = 0;
+    std::uint32_t ranks = 0;
+    std::uint32_t experts = 0;
+};
+
+/// \brief The map with which a group starts: experts are assigned to ranks in
+/// turn.
+[[nodiscard]] group_experts initial_experts(group_shape const& shape);
+
+/// \remarks The number of experts is the highest one that is placed, plus 1.
+[[nodiscard]] group_shape shape_of(group_experts const& map);
+
 /// \brief Applies a difference to the map from which it was computed.
 /// \returns std::nullopt if a cell is outside the map, or the result is not the
 /// map from which the difference was computed.
--- a/include/hornbeamweir/expert_map/map_planner.hpp
+++ b/include/hornbeamweir/expert_map/map_planner.hpp
@@ -22,6 +22,28 @@
     std::uint32_t moves = 0;
 };
 
+/// \brief Why a map is proposed, or not.
+enum class plan_outcome
+{
+    proposed,
+    /// The demand has just changed.
+    unsettled,
+    /// Too few activations were reported to know the demand.
+    too_few_activations,
+    /// No map is worth the cost of copying experts.
+    balanced
+};
+
+template <>
+struct enum_table<plan_outcome>
+{
+    static constexpr std::array<enum_name<plan_outcome>, 4> rows{
+        {{plan_outcome::proposed, "proposed"},
+         {plan_outcome::unsettled, "unsettled"},
+         {plan_outcome::too_few_activations, "too_few_activations"},
+         {plan_outcome::balanced, "balanced"}}};
+};
+
 /// \brief Tracks the activations of experts and proposes maps that balance the
 /// load of the ranks.
 /// \remarks Sans-I/O. Earlier counts of a rank are discarded when its epoch or
@@ -41,7 +63,15 @@
         group_experts const& current,
         engine_profile const& engine,
         std::vector<double> const& slowdowns,
-        time_point now) const;
+        time_point now);
+
+    /// \brief Result of the last call of plan().
+    [[nodiscard]] plan_outcome outcome() const noexcept { return outcome_; }
+    /// \brief Activations on which the last call of plan() was based.
+    [[nodiscard]] double activations_used() const noexcept
+    {
+        return activations_used_;
+    }
 
     /// \brief Computes the skew of a map under the recent demand: maximum load
     /// of a rank divided by the mean, averaged over the expert sets.
@@ -92,6 +122,8 @@
         std::uint32_t max_new_per_rank);
 
     std::map<std::uint32_t, rank_samples> ranks_;
+    plan_outcome outcome_ = plan_outcome::unsettled;
+    double activations_used_ = 0;
 };
 
 } // namespace hornbeamweir
--- a/include/hornbeamweir/expert_map/rank_state.hpp
+++ b/include/hornbeamweir/expert_map/rank_state.hpp
@@ -5,6 +5,7 @@
 #include <hornbeamweir/core/time.hpp>
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -22,6 +23,11 @@
 /// ordered to; engines that agree on maps among themselves use expert_map.
 using group_experts = std::vector<std::vector<std::vector<std::uint16_t>>>;
 
+/// \brief Placement that the orders of one change share.
+using shared_experts = std::shared_ptr<group_experts const>;
+
+struct map_delta;
+
 /// \brief Reported state of a rank whose engine switches maps when ordered to.
 /// \remarks A step is the number of a forward pass of the group.
 struct rank_state
@@ -50,6 +56,9 @@
     /// Whether its agent accepts orders that carry only a difference of maps;
     /// agents of earlier versions do not.
     bool agent_accepts_deltas = false;
+    /// Whether its agent can derive the initial map of a group, so that an
+    /// order may carry the difference to it.
+    bool agent_knows_initial_map = false;
     /// Map that is completely copied and can be armed; 0 for none.
     std::uint64_t prepared_version = 0;
     /// Map that the rank switches to at the start of a pass; 0 for none.
@@ -107,10 +116,15 @@
     /// a delayed duplicate has no effect once a later order has begun.
     std::uint64_t expected_orders = 0;
     /// Placement of the experts; used by prepare only.
-    group_experts mapping;
-    /// Version of a map that the rank's agent has passed on before; an order to
-    /// the agent need carry only the difference to it. 0 for none.
+    shared_experts mapping;
+    /// Difference of the placement to a map that the rank's agent knows, which
+    /// is all that an order to the agent need carry; null if there is none.
+    std::shared_ptr<map_delta const> delta;
+    /// Version of the map to which the difference was computed; 0 for the
+    /// initial map of the group.
     std::uint64_t base_version = 0;
+    /// Whether agents may pass the order on to others: it was not sent before.
+    bool may_be_relayed = false;
 
     [[nodiscard]] friend bool
     operator==(rank_order const&, rank_order const&) = default;
--- a/include/hornbeamweir/peers/report_schedule.hpp
+++ b/include/hornbeamweir/peers/report_schedule.hpp
@@ -6,6 +6,14 @@
 namespace hornbeamweir
 {
 
+/// \returns Interval of the reports of a rank that has no news. In large groups
+/// it is longer, so that the coordinator can process the reports of all ranks.
+[[nodiscard]] duration report_interval(std::uint32_t ranks) noexcept;
+
+/// \returns Age of a rank's last report above which its agent counts as silent:
+/// two reports were lost.
+[[nodiscard]] duration max_report_age(std::uint32_t ranks) noexcept;
+
 /// \brief Decides which states of a rank are reported to its coordinator, which
 /// in a large group could not process all that are read.
 /// \remarks A state that matters to a map change is reported at once; others
--- a/include/hornbeamweir/settings/relay_settings.hpp
+++ b/include/hornbeamweir/settings/relay_settings.hpp
@@ -42,6 +42,8 @@
     /// Name of the rank's service in the configuration.
     std::string service;
     std::string rank_address;
+    /// Rate of this VM's link; maps are sent at a part of it.
+    double link_megabits_per_second = 8;
     std::string peers_address;
     std::string metrics_address;
     std::string platform_address;
--- a/src/daemon/coordinator_activity.cpp
+++ b/src/daemon/coordinator_activity.cpp
@@ -45,6 +45,8 @@
         .with("orders", orders_)
         .with("searches", searches_)
         .with("planning_ms", milliseconds_of(planning_))
+        .with("last_search", name_of(outcome_))
+        .with("activations", activations_)
         .with("max_tick_gap_ms", milliseconds_of(max_tick_gap_))
         .with("oldest_report_ms", milliseconds_of(oldest_report));
     log_.info(line);
--- a/src/daemon/coordinator_activity.hpp
+++ b/src/daemon/coordinator_activity.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hornbeamweir/core/time.hpp>
+#include <hornbeamweir/expert_map/map_planner.hpp>
 #include <hornbeamweir/telemetry/event_log.hpp>
 #include <hornbeamweir/telemetry/metrics_registry.hpp>
 
@@ -23,6 +24,12 @@
     /// \param elapsed Time taken to search for a map, whether one was found or
     /// not.
     void on_planned(duration elapsed);
+    /// \param activations Number on which the search was based.
+    void on_outcome(plan_outcome outcome, double activations) noexcept
+    {
+        outcome_ = outcome;
+        activations_ = activations;
+    }
     /// \param oldest_report Age of the oldest last report of a rank.
     void on_tick(time_point now, duration oldest_report);
 
@@ -35,6 +42,8 @@
     std::uint64_t orders_ = 0;
     std::uint64_t searches_ = 0;
     duration planning_{};
+    plan_outcome outcome_ = plan_outcome::unsettled;
+    double activations_ = 0;
     /// Longest time between two ticks.
     duration max_tick_gap_{};
     time_point last_tick_{};
--- a/src/daemon/group_coordination.cpp
+++ b/src/daemon/group_coordination.cpp
@@ -17,9 +17,6 @@
 /// Demand changes every few seconds, and planning takes milliseconds of CPU
 /// time.
 constexpr duration plan_interval = milliseconds{100};
-/// Age of the last report above which the rank is asked directly instead of
-/// through its agent.
-constexpr duration max_report_age = milliseconds{350};
 /// Skew (a ratio; 1 is balanced) above which a map that ranks still copy is
 /// replaced by a newly planned one. Maps are planned for 1.1; after a change of
 /// demand 3 is usual.
@@ -55,7 +52,8 @@
     clock_function clock,
     random_source random,
     std::string self,
-    std::function<void(rank_order const&)> send)
+    double link_megabits_per_second,
+    std::function<void(std::vector<rank_order> const&)> send)
     : platform_{store}
     , records_{records}
     , log_{log}
@@ -63,7 +61,7 @@
     , clock_{clock}
     , send_{std::move(send)}
     , leadership_{store, log, clock, random, std::move(self)}
-    , coordinator_{log}
+    , coordinator_{log, link_megabits_per_second}
     , activity_{log, metrics}
 {
 }
@@ -73,6 +71,7 @@
 {
     group_ = state.group;
     rank_ = state.rank;
+    ranks_ = state.ranks;
     service_ = service;
     leadership_.set_key(
         "hornbeamweir/groups/" + group_.str() + "/coordinator",
@@ -109,7 +108,11 @@
         leadership_.step_down();
     // A switch takes several rounds of orders; if each round waited for a tick,
     // the switch would take additional forward passes.
-    if (coordinator_.is_coordinator())
+    hold_coordinator::phase const phase = coordinator_.current_phase();
+    bool const is_switching = phase == hold_coordinator::phase::holding ||
+                              phase == hold_coordinator::phase::arming ||
+                              phase == hold_coordinator::phase::releasing;
+    if (coordinator_.is_coordinator() && is_switching)
         send_due_orders(now);
 }
 
@@ -142,14 +145,16 @@
     update_coordinator_role();
     if (!coordinator_.is_coordinator())
         return;
-    for (rank_order const& order : coordinator_.on_tick(now))
+    std::vector<rank_order> const orders = coordinator_.on_tick(now);
+    for (rank_order const& order : orders)
     {
         metrics_.count(
             "hornbeamweir_rank_orders_total",
             {{"operation", std::string{name_of(order.operation)}}});
         activity_.on_order();
-        send_(order);
     }
+    if (!orders.empty())
+        send_(orders);
     update_metrics(now);
 }
 
@@ -300,13 +305,14 @@
 void group_coordination::plan_map(time_point now)
 {
     planned_at_ = now;
-    std::optional<group_experts> const current = coordinator_.in_force();
+    shared_experts const current = coordinator_.in_force();
     if (!engine_profile_ || !current)
         return;
     std::optional<planned_map> next =
         planner_.plan(*current, *engine_profile_, slowdowns(), now);
     duration const elapsed = clock_() - now;
     activity_.on_planned(elapsed);
+    activity_.on_outcome(planner_.outcome(), planner_.activations_used());
     if (!next)
         return;
     event line{"map_planned"};
@@ -338,7 +344,7 @@
 {
     std::vector<std::string> out;
     for (std::uint32_t const rank :
-         coordinator_.ranks_with_stale_report(max_report_age, clock_()))
+         coordinator_.ranks_with_stale_report(max_report_age(ranks_), clock_()))
     {
         std::string address = address_of(rank);
         if (!address.empty())
--- a/src/daemon/group_coordination.hpp
+++ b/src/daemon/group_coordination.hpp
@@ -4,6 +4,7 @@
 #include <hornbeamweir/expert_map/map_planner.hpp>
 #include <hornbeamweir/peers/leadership.hpp>
 #include <hornbeamweir/peers/rank_messages.hpp>
+#include <hornbeamweir/peers/report_schedule.hpp>
 #include <hornbeamweir/relay/relay_codec.hpp>
 #include <hornbeamweir/telemetry/metrics_registry.hpp>
 
@@ -20,7 +21,8 @@
     using clock_function = time_point (*)() noexcept;
 
     /// \param self Name of this process as a candidate.
-    /// \param send Sends an order to a rank.
+    /// \param send Sends orders to ranks.
+    /// \param link_megabits_per_second Rate of this VM's link.
     group_coordination(
         platform& store,
         relay_codec const& records,
@@ -29,7 +31,8 @@
         clock_function clock,
         random_source random,
         std::string self,
-        std::function<void(rank_order const&)> send);
+        double link_megabits_per_second,
+        std::function<void(std::vector<rank_order> const&)> send);
     group_coordination(group_coordination const&) = delete;
     group_coordination& operator=(group_coordination const&) = delete;
     ~group_coordination() = default;
@@ -63,7 +66,7 @@
         send_due_orders(clock_());
     }
     /// \brief Records a map that another coordinator has ordered.
-    void on_map_ordered(std::uint64_t version, group_experts mapping)
+    void on_map_ordered(std::uint64_t version, shared_experts mapping)
     {
         coordinator_.on_map_ordered(version, std::move(mapping));
     }
@@ -76,6 +79,8 @@
     {
         return leadership_.fence();
     }
+    /// \returns Number of ranks of the group; 0 if unknown.
+    [[nodiscard]] std::uint32_t ranks() const noexcept { return ranks_; }
     [[nodiscard]] model_group_id const& group() const noexcept
     {
         return group_;
@@ -107,7 +112,7 @@
     event_log& log_;
     metrics_registry& metrics_;
     clock_function clock_;
-    std::function<void(rank_order const&)> send_;
+    std::function<void(std::vector<rank_order> const&)> send_;
     leadership leadership_;
     hold_coordinator coordinator_;
     map_planner planner_;
@@ -115,6 +120,7 @@
     model_group_id group_;
     service_name service_;
     std::uint32_t rank_ = 0;
+    std::uint32_t ranks_ = 0;
     std::map<std::uint32_t, std::string> addresses_;
     /// Addresses of the registered replicas of the service.
     std::vector<std::string> registered_addresses_;
--- a/src/daemon/rank_agent_daemon.cpp
+++ b/src/daemon/rank_agent_daemon.cpp
@@ -1,6 +1,7 @@
 #include <hornbeamweir/core/socket_address.hpp>
 #include <hornbeamweir/core/suspend_clock.hpp>
 #include <hornbeamweir/daemon/rank_agent_daemon.hpp>
+#include <hornbeamweir/expert_map/order_relay.hpp>
 #include <hornbeamweir/peers/datagram_link.hpp>
 #include <hornbeamweir/peers/peer_registry.hpp>
 #include <hornbeamweir/telemetry/console_log.hpp>
@@ -12,6 +13,8 @@
 
 #include <boost/json/serialize.hpp>
 
+#include <sstream>
+
 namespace hornbeamweir
 {
 
@@ -25,6 +28,7 @@
 /// Entries need only whether the rank makes progress, and its slowdown.
 constexpr duration entry_report_interval = milliseconds{200};
 constexpr duration heartbeat_interval = milliseconds{200};
+constexpr duration traffic_interval = std::chrono::seconds{1};
 /// Time after the last heartbeat for which reports are sent to a coordinator.
 constexpr duration coordinator_timeout = milliseconds{1500};
 /// Long enough for a map change and a call to the store; the platform kills the
@@ -49,6 +53,13 @@
                   : udp_address{};
 }
 
+std::string to_text(udp_address const& address)
+{
+    std::ostringstream out;
+    out << address;
+    return std::move(out).str();
+}
+
 } // namespace
 
 class rank_agent_daemon::impl
@@ -68,7 +79,7 @@
         , monitor_{rank_, log_, suspend_aware_now, settings_.rank_address, settings_.service, [this](rank_state const& state) { on_rank_state(state); }}
         , admin_{loop_.context(), settings_.metrics_address, metrics_, admin_pages{[this] { return monitor_.has_state(); }, [this] { return status(); }, {}}}
         , platform_{connect(loop_.context(), settings_.platform_address)}
-        , coordination_{*platform_, records, log_, metrics_, suspend_aware_now, random_source{random_.next()}, settings_.name.str(), [this](rank_order const& order) { route_order(order); }}
+        , coordination_{*platform_, records, log_, metrics_, suspend_aware_now, random_source{random_.next()}, settings_.name.str(), settings_.link_megabits_per_second, [this](std::vector<rank_order> const& orders) { route_orders(orders); }}
         , registry_{loop_.context(), *platform_, log_, std::string{agent_role}, settings_.name, udp_endpoint(settings_.peers_address)}
         , link_{loop_.context(), udp_endpoint(settings_.peers_address), std::string{agent_role}, settings_.name.str(), random_.next(), metrics_, [this](udp_address const& from, wire::datagram const& message) { on_datagram(from, message); }}
     {
@@ -93,6 +104,12 @@
         time_point const now = suspend_aware_now();
         monitor_.on_tick(must_report(now));
         coordination_.on_tick();
+        if (now - traffic_written_at_ >= traffic_interval)
+        {
+            traffic_written_at_ = now;
+            link_.write_traffic(
+                coordination_.is_coordinator() ? &log_ : nullptr);
+        }
         if (!coordination_.is_coordinator())
             return;
         if (now - heartbeat_sent_at_ >= heartbeat_interval)
@@ -174,10 +191,78 @@
             link_.send(to, message);
     }
 
+    /// Orders of a new map are large, so agents pass them on to each other.
+    void route_orders(std::vector<rank_order> const& orders)
+    {
+        std::vector<rank_order> relayed;
+        for (rank_order const& it : orders)
+        {
+            std::string const address = coordination_.address_of(it.rank);
+            if (it.may_be_relayed && address != settings_.rank_address &&
+                reporting_agent(address))
+                relayed.push_back(it);
+            else
+                route_order(it);
+        }
+        for (relayed_order const& it : plan_relay(relayed))
+            send_relayed(it);
+    }
+
+    void send_relayed(relayed_order const& relayed)
+    {
+        wire::datagram message;
+        *message.mutable_order() = to_wire(relayed.order);
+        for (order_recipient const& it : relayed.recipients)
+        {
+            wire::order_recipient& to =
+                *message.mutable_order()->add_recipients();
+            to.set_rank(it.rank);
+            to.set_expected_orders(it.expected_orders);
+            to.set_agent(
+                to_text(*reporting_agent(coordination_.address_of(it.rank))));
+        }
+        link_.send(
+            *reporting_agent(coordination_.address_of(relayed.order.rank)),
+            message);
+    }
+
+    void pass_on(wire::rank_order const& order)
+    {
+        for (passed_on_order& it : orders_to_pass_on(order))
+        {
+            udp_address const to = udp_endpoint(it.agent);
+            if (to.port() == 0)
+            {
+                event line{"order_not_passed_on"};
+                line.with("rank", it.message.rank())
+                    .with("version", order.version())
+                    .with("reason", "found no agent address");
+                log_.warning(line);
+                continue;
+            }
+            wire::datagram message;
+            *message.mutable_order() = std::move(it.message);
+            link_.send(to, std::move(message));
+        }
+    }
+
+    /// \returns Endpoint of the agent of the rank at an address; std::nullopt
+    /// if it has not reported within max_report_age().
+    [[nodiscard]] std::optional<udp_address>
+    reporting_agent(std::string const& address) const
+    {
+        auto const it = agents_.find(address);
+        if (it == agents_.end() ||
+            suspend_aware_now() - it->second.last_contact >=
+                max_report_age(coordination_.ranks()))
+            return std::nullopt;
+        return it->second.endpoint;
+    }
+
     /// Holds and releases go directly to the rank, so that the failure of the
     /// coordinator's or the rank's VM does not affect the other. Other orders
     /// go through the rank's agent, whose calls to it cause no traffic cost, or
-    /// directly if the agent has not reported within max_report_age.
+    /// directly if the agent has not reported within max_report_age().
     void route_order(rank_order const& order)
     {
         std::string const address = coordination_.address_of(order.rank);
@@ -193,16 +278,11 @@
             execute(order);
             return;
         }
-        auto const agent = agents_.find(address);
-        time_point const now = suspend_aware_now();
-        constexpr duration max_report_age = milliseconds{350};
-        if (agent != agents_.end() &&
-            now - agent->second.last_contact < max_report_age)
+        if (std::optional<udp_address> const agent = reporting_agent(address))
         {
             wire::datagram message;
-            *message.mutable_order() =
-                to_wire(order, coordination_.ordered_map(order.base_version));
-            link_.send(agent->second.endpoint, message);
+            *message.mutable_order() = to_wire(order);
+            link_.send(*agent, message);
         }
         else if (!address.empty())
             execute_directly(address, order);
@@ -328,6 +408,7 @@
         }
         else if (message.has_order())
         {
+            pass_on(message.order());
             rank_order order = from_wire(message.order());
             if (order.operation == rank_operation::prepare &&
                 !receive_map(message.order(), order))
@@ -343,21 +424,16 @@
     [[nodiscard]] bool
     receive_map(wire::rank_order const& message, rank_order& order)
     {
-        if (order.base_version != 0)
+        if (!order.mapping)
+            order.mapping = restore_map(
+                message, coordination_.ordered_map(order.base_version));
+        if (!order.mapping)
         {
-            group_experts const* const base =
-                coordination_.ordered_map(order.base_version);
-            std::optional<group_experts> restored =
-                base ? apply_delta(*base, delta_of(message)) : std::nullopt;
-            if (!restored)
-            {
-                event line{"map_base_differs"};
-                line.with("version", order.version)
-                    .with("base", order.base_version);
-                log_.info(line);
-                return false;
-            }
-            order.mapping = std::move(*restored);
+            event line{"map_base_differs"};
+            line.with("version", order.version)
+                .with("base", order.base_version);
+            log_.info(line);
+            return false;
         }
         coordination_.on_map_ordered(order.version, order.mapping);
         return true;
@@ -407,6 +483,7 @@
     time_point entries_reported_at_{};
     time_point heartbeat_sent_at_{};
     time_point stale_ranks_read_at_{};
+    time_point traffic_written_at_{};
     time_point drain_began_at_{};
     bool was_coordinator_ = false;
 };
--- a/src/daemon/rank_monitor.cpp
+++ b/src/daemon/rank_monitor.cpp
@@ -239,6 +239,7 @@
     wire::rank_report out = to_wire(state);
     out.set_accepted_version(accepted_version_);
     out.set_accepts_deltas(true);
+    out.set_knows_initial_map(true);
     out.set_address(address_);
     out.set_service(service_);
     return out;
--- a/src/expert_map/hold_coordinator.cpp
+++ b/src/expert_map/hold_coordinator.cpp
@@ -127,7 +127,7 @@
 }
 
 void hold_coordinator::on_map_ordered(
-    std::uint64_t version, group_experts mapping)
+    std::uint64_t version, shared_experts mapping)
 {
     constexpr std::size_t max_maps = 8;
     ordered_maps_.insert_or_assign(version, std::move(mapping));
@@ -198,13 +198,15 @@
 bool hold_coordinator::ready_for_map(time_point now) const
 {
     return leading_ && phase_ == phase::idle && all_ranks_usable(now) &&
-           !unexpected_state_since_ && in_force().has_value();
+           !unexpected_state_since_ && in_force() != nullptr;
 }
 
-std::optional<group_experts> hold_coordinator::in_force() const
+// Reports are frequent and maps are large, so a map is put together from the
+// ranks' experts only once.
+shared_experts hold_coordinator::in_force() const
 {
     if (views_.empty())
-        return std::nullopt;
+        return nullptr;
     auto const ordered =
         ordered_maps_.find(views_.begin()->second.state.map_version);
     bool const same_map = std::all_of(
@@ -215,8 +217,24 @@
             return view.second.state.map_version ==
                    views_.begin()->second.state.map_version;
         });
-    if (same_map && ordered != ordered_maps_.end())
+    if (!same_map)
+        return nullptr;
+    if (ordered != ordered_maps_.end())
         return ordered->second;
+    std::uint64_t const version = views_.begin()->second.state.map_version;
+    std::uint64_t const epoch = newest_epoch();
+    if (!assembled_ || assembled_epoch_ != epoch ||
+        assembled_version_ != version)
+    {
+        assembled_ = assemble_in_force();
+        assembled_epoch_ = epoch;
+        assembled_version_ = version;
+    }
+    return assembled_;
+}
+
+shared_experts hold_coordinator::assemble_in_force() const
+{
     group_experts out;
     std::uint64_t const epoch = newest_epoch();
     for (auto const& [rank, view] : views_)
@@ -226,7 +244,7 @@
             view.experts_version == view.state.map_version &&
             view.state.map_version == views_.begin()->second.state.map_version;
         if (!same || rank >= view.state.ranks)
-            return std::nullopt;
+            return nullptr;
         out.resize(std::max(out.size(), view.experts.size()));
         for (std::size_t set = 0; set < view.experts.size(); ++set)
         {
@@ -237,7 +255,8 @@
     bool const all_known =
         !views_.empty() &&
         views_.size() == views_.begin()->second.state.ranks && !out.empty();
-    return all_known ? std::optional{std::move(out)} : std::nullopt;
+    return all_known ? std::make_shared<group_experts const>(std::move(out))
+                     : nullptr;
 }
 
 // The fence increases with each change that a coordinator starts, and stays
@@ -264,7 +283,7 @@
     phase_ = next;
     phase_entered_ = now;
     sent_.clear();
-    prepare_sizes_.clear();
+    prepare_encodings_.clear();
     cleared_.clear();
     disarming_ = false;
     if (next == phase::clearing || next == phase::preparing)
@@ -290,7 +309,7 @@
 
 void hold_coordinator::start(group_experts mapping, time_point now)
 {
-    mapping_ = std::move(mapping);
+    mapping_ = std::make_shared<group_experts const>(std::move(mapping));
     epoch_ = newest_epoch();
     version_ = next_version();
     step_ = 0;
--- a/src/expert_map/hold_phases.cpp
+++ b/src/expert_map/hold_phases.cpp
@@ -20,6 +20,11 @@
 /// The pass to hold is this many passes ahead of the latest one, so that the
 /// hold order arrives before it starts.
 constexpr std::uint64_t hold_lead_steps = 2;
+/// Orders of an earlier change that are in transit take effect within this
+/// time, unless ranks execute them late.
+constexpr duration settle_time = milliseconds{250};
+/// Time in which ranks execute the orders of the phase clearing, and report it.
+constexpr duration min_clearing_timeout = milliseconds{1500};
 /// A held pass or an armed rank that belongs to no change is cleared after this
 /// time.
 constexpr duration unexpected_state_timeout = milliseconds{250};
@@ -45,6 +50,24 @@
     enter(phase::clearing, "held pass or armed rank without a change", now);
 }
 
+// Repeated orders wait for those that have not been sent yet.
+void hold_coordinator::order_prepare(
+    std::vector<std::uint32_t> const& ranks, time_point now, orders& out)
+{
+    bool all_sent = true;
+    for (std::uint32_t const rank : ranks)
+    {
+        if (sent_.contains(rank))
+            continue;
+        order_prepare(rank, now, out);
+        all_sent = all_sent && sent_.contains(rank);
+    }
+    if (!all_sent)
+        return;
+    for (std::uint32_t const rank : ranks)
+        order_prepare(rank, now, out);
+}
+
 // Prepare orders are as large as the map, and are therefore repeated at a
 // longer interval to a rank that has accepted one.
 void hold_coordinator::order_prepare(
@@ -68,15 +91,14 @@
             now);
         return;
     }
-    bool all_prepared = true;
+    std::vector<std::uint32_t> unprepared;
     for (auto const& [rank, view] : views_)
     {
-        if (view.state.prepared_version == version_)
-            continue;
-        all_prepared = false;
-        order_prepare(rank, now, out);
+        if (view.state.prepared_version != version_)
+            unprepared.push_back(rank);
     }
-    if (all_prepared)
+    order_prepare(unprepared, now, out);
+    if (unprepared.empty())
     {
         step_ = latest_step() + hold_lead_steps;
         enter(phase::holding, "all ranks have prepared the map", now);
@@ -213,11 +235,42 @@
     }
 }
 
+// Ranks are armed only while a pass is held. If none is, an arm order of an
+// earlier change finds that its pass has begun, and the next change, which all
+// ranks prepare with a higher fence, shuts out the other orders.
+bool hold_coordinator::has_nothing_to_clear(time_point now) const
+{
+    time_point const settled_at = phase_entered_ + settle_time;
+    return cleared_.empty() && !disarming_ && all_ranks_usable(now) &&
+           std::all_of(
+               views_.begin(),
+               views_.end(),
+               [&](auto const& it)
+               {
+                   rank_view const& view = it.second;
+                   return view.reported_at >= settled_at && !is_armed(view) &&
+                          !view.state.held_step;
+               });
+}
+
+duration hold_coordinator::clearing_timeout() const
+{
+    duration const transfer =
+        mapping_ ? whole_map().transfer_time * static_cast<int>(views_.size())
+                 : duration{};
+    return std::max(min_clearing_timeout, 2 * transfer);
+}
+
 // Each rank is first ordered to prepare the map in force under a new version.
 // Once it has, it rejects delayed duplicates of earlier orders. Only then is a
 // held pass released.
 void hold_coordinator::run_clearing(time_point now, orders& out)
 {
+    if (has_nothing_to_clear(now))
+    {
+        enter(phase::idle, "no rank is armed and no pass held", now);
+        return;
+    }
     // The previous coordinator armed its local rank last. While any other rank
     // is not armed, that rank is not armed either, and clearing can proceed
     // without its report. If all others are armed, it may be armed too, and
@@ -238,10 +291,11 @@
         clear_armed(armed, all_armed, now, out);
         return;
     }
-    std::optional<group_experts> current = in_force();
+    shared_experts const current = in_force();
     if (!current)
         return;
-    mapping_ = std::move(*current);
+    mapping_ = current;
+    std::vector<std::uint32_t> uncleared;
     for (auto const& [rank, view] : views_)
     {
         if (rank == missing)
@@ -249,12 +303,12 @@
         if (view.state.prepared_version == version_)
             cleared_.insert(rank);
         else if (!cleared_.contains(rank))
-            order_prepare(rank, now, out);
+            uncleared.push_back(rank);
     }
+    order_prepare(uncleared, now, out);
     if (cleared_.size() < present)
     {
-        constexpr duration clearing_timeout = milliseconds{1500};
-        if (now - phase_entered_ > clearing_timeout)
+        if (now - phase_entered_ > clearing_timeout())
             enter(
                 phase::clearing,
                 "timed out clearing, retrying with a new version",
--- a/src/expert_map/map_delta.cpp
+++ b/src/expert_map/map_delta.cpp
@@ -107,6 +107,25 @@
     return out;
 }
 
+group_experts initial_experts(group_shape const& shape)
+{
+    if (shape.ranks == 0)
+        return {};
+    std::vector<expert_list> set(shape.ranks);
+    for (std::uint32_t expert = 0; expert < shape.experts; ++expert)
+        set[expert % shape.ranks].push_back(static_cast<std::uint16_t>(expert));
+    return group_experts(shape.sets, set);
+}
+
+group_shape shape_of(group_experts const& map)
+{
+    std::size_t const ranks = map.empty() ? 0 : map.front().size();
+    return {
+        static_cast<std::uint32_t>(map.size()),
+        static_cast<std::uint32_t>(ranks),
+        stride_of(map)};
+}
+
 std::optional<group_experts>
 apply_delta(group_experts from, map_delta const& delta)
 {
--- a/src/expert_map/map_planner.cpp
+++ b/src/expert_map/map_planner.cpp
@@ -188,11 +188,15 @@
     group_experts const& current,
     engine_profile const& engine,
     std::vector<double> const& slowdowns,
-    time_point now) const
+    time_point now)
 {
     demand const recent = recent_demand(current.size() * engine.experts, now);
+    activations_used_ = std::accumulate(
+        recent.activations.begin(), recent.activations.end(), 0.0);
+    outcome_ = plan_outcome::unsettled;
     if (!recent.settled)
         return std::nullopt;
+    outcome_ = plan_outcome::balanced;
     std::optional<planned_map> best;
     double best_value = 0;
     for (std::uint32_t max_new_per_rank = 1;
@@ -202,7 +206,10 @@
         std::optional<planned_map> next = balance(
             current, engine, recent.activations, slowdowns, max_new_per_rank);
         if (!next)
+        {
+            outcome_ = plan_outcome::too_few_activations;
             return std::nullopt;
+        }
         double const gain = next->skew_sum_before - next->skew_sum_after;
         double const time_in_force =
             horizon_s - switch_s - copy_time(current, next->experts, engine);
@@ -216,6 +223,7 @@
             continue;
         best_value = gain * time_in_force;
         best = std::move(next);
+        outcome_ = plan_outcome::proposed;
     }
     return best;
 }
--- a/src/peers/rank_messages.cpp
+++ b/src/peers/rank_messages.cpp
@@ -1,5 +1,8 @@
+#include <hornbeamweir/expert_map/order_relay.hpp>
 #include <hornbeamweir/peers/rank_messages.hpp>
 
+#include <algorithm>
+
 namespace hornbeamweir
 {
 
@@ -40,6 +43,8 @@
     out.set_pace(state.slowdown);
     out.set_map_version(state.map_version);
     out.set_accepted_version(state.accepted_version);
+    out.set_accepts_deltas(state.agent_accepts_deltas);
+    out.set_knows_initial_map(state.agent_knows_initial_map);
     out.set_prepared_version(state.prepared_version);
     out.set_armed_version(state.armed_version);
     out.set_armed_step(state.armed_step);
@@ -65,6 +70,7 @@
     out.map_version = in.map_version();
     out.accepted_version = in.accepted_version();
     out.agent_accepts_deltas = in.accepts_deltas();
+    out.agent_knows_initial_map = in.knows_initial_map();
     out.prepared_version = in.prepared_version();
     out.armed_version = in.armed_version();
     out.armed_step = in.armed_step();
@@ -73,7 +79,7 @@
     return out;
 }
 
-wire::rank_order to_wire(rank_order const& order, group_experts const* base)
+wire::rank_order to_wire(rank_order const& order)
 {
     wire::rank_order out;
     out.set_rank(order.rank);
@@ -83,19 +89,23 @@
     out.set_epoch(order.epoch);
     out.set_fence(order.fence);
     out.set_expected_orders(order.expected_orders);
-    std::optional<map_delta> const delta =
-        base ? difference_of(*base, order.mapping) : std::nullopt;
-    if (delta)
+    if (!order.mapping)
+        return out;
+    group_shape const shape = shape_of(*order.mapping);
+    out.set_sets(shape.sets);
+    if (order.delta)
     {
+        map_delta const& delta = *order.delta;
         out.set_base_version(order.base_version);
-        out.set_delta_stride(delta->stride);
-        out.set_delta_result_hash(delta->result_hash);
+        out.set_ranks(shape.ranks);
+        out.set_experts(shape.experts);
+        out.set_delta_stride(delta.stride);
+        out.set_delta_result_hash(delta.result_hash);
         out.mutable_delta_cells()->Assign(
-            delta->cells.begin(), delta->cells.end());
+            delta.cells.begin(), delta.cells.end());
         return out;
     }
-    out.set_sets(static_cast<std::uint32_t>(order.mapping.size()));
-    for (rank_experts const& set : order.mapping)
+    for (rank_experts const& set : *order.mapping)
     {
         for (std::vector<std::uint16_t> const& experts : set)
             append_experts(experts, *out.add_mapping());
@@ -115,14 +125,37 @@
     out.fence = in.fence();
     out.expected_orders = in.expected_orders();
     out.base_version = in.base_version();
-    if (in.sets() == 0)
+    if (in.sets() == 0 || in.delta_stride() != 0)
         return out;
-    int const ranks = in.mapping_size() / static_cast<int>(in.sets());
+    group_experts mapping;
+    int const ranks =
+        std::max(1, in.mapping_size() / static_cast<int>(in.sets()));
     for (int n = 0; n < in.mapping_size(); ++n)
     {
         if (n % ranks == 0)
-            out.mapping.emplace_back();
-        out.mapping.back().push_back(to_expert_ids(in.mapping(n).experts()));
+            mapping.emplace_back();
+        mapping.back().push_back(to_expert_ids(in.mapping(n).experts()));
+    }
+    out.mapping = std::make_shared<group_experts const>(std::move(mapping));
+    return out;
+}
+
+std::vector<passed_on_order> orders_to_pass_on(wire::rank_order const& received)
+{
+    std::vector<passed_on_order> out;
+    for (std::vector<std::size_t> const& row :
+         split_recipients(static_cast<std::size_t>(received.recipients_size())))
+    {
+        wire::order_recipient const& first =
+            received.recipients(static_cast<int>(row.front()));
+        passed_on_order next{first.agent(), received};
+        next.message.set_rank(first.rank());
+        next.message.set_expected_orders(first.expected_orders());
+        next.message.clear_recipients();
+        for (std::size_t k = 1; k < row.size(); ++k)
+            *next.message.add_recipients() =
+                received.recipients(static_cast<int>(row[k]));
+        out.push_back(std::move(next));
     }
     return out;
 }
@@ -143,13 +176,27 @@
     return out;
 }
 
-map_delta delta_of(wire::rank_order const& in)
+shared_experts
+restore_map(wire::rank_order const& in, group_experts const* base)
 {
-    map_delta out;
-    out.stride = in.delta_stride();
-    out.cells.assign(in.delta_cells().begin(), in.delta_cells().end());
-    out.result_hash = in.delta_result_hash();
-    return out;
+    // Bounds the memory that a malformed order can claim.
+    constexpr std::uint64_t max_cells = std::uint64_t{1} << 24;
+    map_delta delta;
+    delta.stride = in.delta_stride();
+    delta.cells.assign(in.delta_cells().begin(), in.delta_cells().end());
+    delta.result_hash = in.delta_result_hash();
+    group_shape const shape{in.sets(), in.ranks(), in.experts()};
+    bool const plausible =
+        std::uint64_t{shape.sets} * shape.ranks <= max_cells &&
+        std::uint64_t{shape.sets} * shape.experts <= max_cells;
+    std::optional<group_experts> restored;
+    if (in.base_version() != 0 && base)
+        restored = apply_delta(*base, delta);
+    else if (in.base_version() == 0 && plausible)
+        restored = apply_delta(initial_experts(shape), delta);
+    return restored
+               ? std::make_shared<group_experts const>(std::move(*restored))
+               : nullptr;
 }
 
 } // namespace hornbeamweir
--- a/src/peers/report_schedule.cpp
+++ b/src/peers/report_schedule.cpp
@@ -1,5 +1,7 @@
 #include <hornbeamweir/peers/report_schedule.hpp>
 
+#include <algorithm>
+
 namespace hornbeamweir
 {
 
@@ -8,14 +10,27 @@
 
 using std::chrono::milliseconds;
 
-/// Interval of reports without news; a coordinator reads the report of a rank
-/// itself if it has not heard of it for 350 ms.
-constexpr duration report_interval = milliseconds{150};
+constexpr duration min_report_interval = milliseconds{150};
+/// Time in which a coordinator can process a report without news and still has
+/// most of its processor time for other work.
+constexpr duration time_per_report = std::chrono::microseconds{2400};
+/// Time that a report may be delayed.
+constexpr duration report_delay = milliseconds{50};
 /// Interval at which reports include the experts, if they are the same.
 constexpr duration experts_interval = milliseconds{1000};
 
 } // namespace
 
+duration report_interval(std::uint32_t ranks) noexcept
+{
+    return std::max(min_report_interval, time_per_report * ranks);
+}
+
+duration max_report_age(std::uint32_t ranks) noexcept
+{
+    return 2 * report_interval(ranks) + report_delay;
+}
+
 // The step and the load change with each pass; the coordinator learns the step
 // from its own rank, and does not use the load.
 bool report_schedule::is_due(
@@ -26,7 +41,7 @@
     compared.active = reported_.active;
     compared.queued = reported_.queued;
     return compared != reported_ || has_activations ||
-           now - reported_at_ >= report_interval;
+           now - reported_at_ >= report_interval(state.ranks);
 }
 
 bool report_schedule::includes_experts(
--- a/src/settings/relay_settings.cpp
+++ b/src/settings/relay_settings.cpp
@@ -40,6 +40,11 @@
     in.id("data_centre", out.data_centre, presence::required);
     in.string("service", out.service, presence::required);
     in.address("rank_address", out.rank_address, presence::required);
+    in.real(
+        "link_megabits_per_second",
+        out.link_megabits_per_second,
+        {0.1, 1e6},
+        presence::optional);
     in.address("peers_address", out.peers_address, presence::required);
     in.address("metrics_address", out.metrics_address, presence::required);
     in.address("platform_address", out.platform_address, presence::required);
