Let the entries of a large fleet ask three readers

Change: in fleets of nine entries and more the first three by name read; the others ask one of them each 0.8 s for the version of its configuration, a hash of its replicas and the age of both (state_sharing, without I/O). What is the same is confirmed as of the moment at which the question was sent less the age, so that a late message or a suspended process makes an answer older, never wrong; what differs is read from the store, and everything if no answer comes within 250 ms. Readers hint at changes, which makes others ask at once.

Tests: state_sharing_test, with a property over random delays and suspensions ('nothing is confirmed later than it was the newest').

--- a/include/hornbeamweir/replicas/replica_watcher.hpp
+++ b/include/hornbeamweir/replicas/replica_watcher.hpp
@@ -22,6 +22,7 @@
 {
 public:
     using snapshot = std::map<backend_server_id, replica>;
+    using clock_function = time_point (*)() noexcept;
 
     /// \param updated Receives the replicas after each successful read, changed
     /// or not.
@@ -30,6 +31,7 @@
         platform& store,
         relay_codec const& codec,
         event_log& log,
+        clock_function clock,
         std::function<void(snapshot)> updated);
     replica_watcher(replica_watcher const&) = delete;
     replica_watcher& operator=(replica_watcher const&) = delete;
@@ -37,9 +39,21 @@
 
     void start() { read(); }
 
+    /// \brief Sets whether to read at regular intervals, or only on request.
+    void set_continuous(bool continuous);
+    /// \brief Reads now, unless a read is in progress.
+    void read_once();
+    /// \brief Records that the replicas last read were the newest at a time.
+    void confirm(time_point as_of);
+
+    /// \returns Hash of the replicas last read; 0 before the first read.
+    [[nodiscard]] std::uint64_t hash() const noexcept { return hash_; }
+    /// \returns A time at which they were the newest.
+    [[nodiscard]] time_point as_of() const noexcept { return as_of_; }
+
 private:
     void read();
-    void on_read(result<range_reply> const& reply);
+    void on_read(result<range_reply> const& reply, time_point requested_at);
     [[nodiscard]] snapshot decode(range_reply const& reply);
     void schedule_read(duration delay);
 
@@ -50,6 +64,12 @@
     boost::asio::steady_timer timer_;
     /// Undecodable keys that were logged; each is logged once.
     std::set<std::string> reported_keys_;
+    clock_function clock_;
+    snapshot last_;
+    std::uint64_t hash_ = 0;
+    time_point as_of_{};
+    bool continuous_ = true;
+    bool reading_ = false;
     bool unavailable_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/include/hornbeamweir/routes/route_configuration_watcher.hpp
+++ b/include/hornbeamweir/routes/route_configuration_watcher.hpp
@@ -39,11 +39,22 @@
 
     void start() { read(); }
 
+    /// \brief Sets whether to wait for changes, or to read only on request.
+    void set_continuous(bool continuous);
+    /// \brief Sets the time that one call waits for changes; std::nullopt for
+    /// the usual one.
+    void set_poll_wait(std::optional<duration> wait);
+    /// \brief Reads now, unless a call is in progress.
+    void read_once();
+
 private:
     void read();
     void on_read(result<range_reply> const& reply, time_point requested_at);
     void poll();
-    void on_changes(result<change_batch> const& batch, time_point requested_at);
+    void on_changes(
+        result<change_batch> const& batch,
+        time_point requested_at,
+        duration wait);
     void on_configuration(std::string const& bytes, time_point as_of);
     void schedule_read(duration delay);
     void log_outage(error const& reason);
@@ -58,6 +69,10 @@
     std::function<void(time_point)> confirmed_;
     boost::asio::steady_timer timer_;
     std::int64_t revision_ = 0;
+    duration poll_wait_;
+    bool continuous_ = true;
+    /// Whether a call or a timer for the next one is pending.
+    bool busy_ = false;
     bool unavailable_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/include/hornbeamweir/routes/versioned_route_table.hpp
+++ b/include/hornbeamweir/routes/versioned_route_table.hpp
@@ -29,6 +29,12 @@
         return table_;
     }
 
+    /// \returns A time at which the configuration was the newest.
+    [[nodiscard]] time_point confirmed_at() const noexcept
+    {
+        return confirmed_at_;
+    }
+
     /// \returns The time since the configuration was last known to be the
     /// newest.
     [[nodiscard]] duration staleness(time_point now) const noexcept
--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -11,6 +11,7 @@
 #include "admin_endpoint.hpp"
 #include "daemon_loop.hpp"
 #include "relay_exchanges.hpp"
+#include "state_exchange.hpp"
 #include "unreadable_request.hpp"
 
 #include <boost/json/serialize.hpp>
@@ -104,9 +105,10 @@
         , admin_{loop_.context(), settings_.metrics_address, metrics_, admin_pages{[this] { return ready(); }, [this] { return status(); }, {}}}
         , platform_{connect(loop_.context(), settings_.platform_address)}
         , routes_{loop_.context(), *platform_, *platform_, codec_, log_, suspend_aware_now, [this](route_configuration next, time_point as_of) { apply_configuration(std::move(next), as_of); }, [this](time_point as_of) { core_.routes().confirm(as_of); }}
-        , replicas_{loop_.context(), *platform_, codec_, log_, [this](replica_watcher::snapshot snapshot) { apply_replicas(std::move(snapshot)); }}
+        , replicas_{loop_.context(), *platform_, codec_, log_, suspend_aware_now, [this](replica_watcher::snapshot snapshot) { apply_replicas(std::move(snapshot)); }}
         , registry_{loop_.context(), *platform_, log_, std::string{entry_role}, settings_.name, udp_endpoint(settings_.peers_address)}
         , link_{loop_.context(), udp_endpoint(settings_.peers_address), std::string{entry_role}, settings_.name.str(), random_.next(), metrics_, [this](boost::asio::ip::udp::endpoint const& from, wire::datagram const& message) { on_datagram(from, message); }}
+        , state_{settings_.name, std::string{entry_role}, core_.routes(), routes_, replicas_, registry_, link_, log_, metrics_}
     {
     }
 
@@ -135,6 +137,7 @@
         time_point const now = suspend_aware_now();
         exchanges_.apply(core_.on_tick(now));
         report_loads();
+        state_.on_tick(now);
         if (now - traffic_written_at_ >= traffic_interval)
         {
             traffic_written_at_ = now;
@@ -221,6 +224,10 @@
                 loads[backend_server_id{it.replica()}] = it.in_flight();
             core_.loads().on_peer_load(sender, std::move(loads), now);
         }
+        else if (message.has_question())
+            state_.on_question(from, message.question(), now);
+        else if (message.has_answer())
+            state_.on_answer(message.answer(), now);
         else if (message.has_report())
         {
             wire::rank_report const& report = message.report();
@@ -337,6 +344,7 @@
     replica_watcher replicas_;
     peer_registry registry_;
     datagram_link link_;
+    state_exchange state_;
     load_report_schedule load_reports_;
     time_point settings_checked_at_{};
     time_point traffic_written_at_{};
--- /dev/null
+++ b/src/daemon/state_exchange.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <hornbeamweir/peers/datagram_link.hpp>
+#include <hornbeamweir/peers/peer_registry.hpp>
+#include <hornbeamweir/peers/state_sharing.hpp>
+#include <hornbeamweir/replicas/replica_watcher.hpp>
+#include <hornbeamweir/routes/route_configuration_watcher.hpp>
+#include <hornbeamweir/routes/versioned_route_table.hpp>
+#include <hornbeamweir/telemetry/event_log.hpp>
+
+namespace hornbeamweir
+{
+
+/// \brief Connects state_sharing with the watchers of the platform's store and
+/// the other entries.
+class state_exchange
+{
+public:
+    state_exchange(
+        process_name self,
+        std::string role,
+        versioned_route_table& routes,
+        route_configuration_watcher& configuration,
+        replica_watcher& replicas,
+        peer_registry const& peers,
+        datagram_link& link,
+        event_log& log,
+        metrics_registry& metrics);
+
+    void on_tick(time_point now);
+    void on_question(
+        datagram_link::endpoint const& from,
+        wire::state_question const& question,
+        time_point now);
+    void on_answer(wire::state_answer const& answer, time_point now);
+
+private:
+    [[nodiscard]] known_state known() const;
+    void perform(state_sharing::step const& next, time_point now);
+    void
+    send_answer(datagram_link::endpoint const& to, state_answer const& answer);
+    /// Tells the other entries that the state has changed.
+    void send_hints(time_point now);
+
+    state_sharing sharing_;
+    std::string role_;
+    versioned_route_table& routes_;
+    route_configuration_watcher& configuration_;
+    replica_watcher& replicas_;
+    peer_registry const& peers_;
+    datagram_link& link_;
+    event_log& log_;
+    metrics_registry& metrics_;
+    time_point peers_set_at_{};
+    std::uint64_t hinted_version_ = 0;
+    std::uint64_t hinted_hash_ = 0;
+};
+
+} // namespace hornbeamweir
--- a/src/peers/datagram_traffic.cpp
+++ b/src/peers/datagram_traffic.cpp
@@ -7,8 +7,8 @@
 {
 
 constexpr std::array<char const*, 2> direction_names{"sent", "received"};
-constexpr std::array<char const*, 5> kind_names{
-    "other", "load", "report", "order", "beat"};
+constexpr std::array<char const*, 7> kind_names{
+    "other", "load", "report", "order", "beat", "question", "answer"};
 
 std::size_t kind_of(wire::datagram const& message)
 {
@@ -22,6 +22,10 @@
         return 3;
     case wire::datagram::kBeat:
         return 4;
+    case wire::datagram::kQuestion:
+        return 5;
+    case wire::datagram::kAnswer:
+        return 6;
     case wire::datagram::BODY_NOT_SET:
         break;
     }
--- a/src/replicas/replica_watcher.cpp
+++ b/src/replicas/replica_watcher.cpp
@@ -1,3 +1,4 @@
+#include <hornbeamweir/core/content_hash.hpp>
 #include <hornbeamweir/replicas/replica_watcher.hpp>
 
 namespace hornbeamweir
@@ -11,6 +12,24 @@
 constexpr duration read_interval = std::chrono::milliseconds{900};
 constexpr duration retry_delay = std::chrono::milliseconds{200};
 
+std::uint64_t hash_of(replica_watcher::snapshot const& replicas)
+{
+    std::string text;
+    for (auto const& [id, it] : replicas)
+    {
+        for (std::string const& field :
+             {id.str(),
+              it.service.str(),
+              it.address,
+              it.data_centre.str(),
+              std::to_string(it.slots),
+              std::to_string(it.registration_revision),
+              std::to_string(it.draining ? 1 : 0)})
+            text += field + '\n';
+    }
+    return stable_hash(text);
+}
+
 } // namespace
 
 replica_watcher::replica_watcher(
@@ -18,13 +37,34 @@
     platform& store,
     relay_codec const& codec,
     event_log& log,
+    clock_function clock,
     std::function<void(snapshot)> updated)
     : platform_{store}
     , codec_{codec}
     , log_{log}
     , updated_{std::move(updated)}
     , timer_{context}
+    , clock_{clock}
+{
+}
+
+void replica_watcher::set_continuous(bool continuous)
+{
+    if (continuous && !continuous_)
+        read_once();
+    continuous_ = continuous;
+}
+
+void replica_watcher::read_once()
+{
+    if (!reading_)
+        read();
+}
+
+void replica_watcher::confirm(time_point as_of)
 {
+    as_of_ = std::max(as_of_, as_of);
+    updated_(last_);
 }
 
 void replica_watcher::schedule_read(duration delay)
@@ -33,24 +73,29 @@
     timer_.async_wait(
         [this](boost::system::error_code ec)
         {
-            if (!ec)
-                read();
+            if (!ec && continuous_)
+                read_once();
         });
 }
 
 void replica_watcher::read()
 {
+    reading_ = true;
+    time_point const requested_at = clock_();
     platform_.read_prefix(
         codec_.replica_prefix(),
-        [this, weak = std::weak_ptr{alive_}](result<range_reply> const& reply)
+        [this, requested_at, weak = std::weak_ptr{alive_}](
+            result<range_reply> const& reply)
         {
             if (!weak.expired())
-                on_read(reply);
+                on_read(reply, requested_at);
         });
 }
 
-void replica_watcher::on_read(result<range_reply> const& reply)
+void replica_watcher::on_read(
+    result<range_reply> const& reply, time_point requested_at)
 {
+    reading_ = false;
     if (!reply)
     {
         if (!std::exchange(unavailable_, true))
@@ -70,7 +115,10 @@
         line.with("dependency", "replica_registry");
         log_.info(line);
     }
-    updated_(decode(*reply));
+    last_ = decode(*reply);
+    hash_ = hash_of(last_);
+    as_of_ = requested_at;
+    updated_(last_);
     schedule_read(read_interval);
 }
 
--- a/src/routes/route_configuration_watcher.cpp
+++ b/src/routes/route_configuration_watcher.cpp
@@ -30,11 +30,33 @@
     , updated_{std::move(updated)}
     , confirmed_{std::move(confirmed)}
     , timer_{context}
+    , poll_wait_{poll_wait}
 {
 }
 
+void route_configuration_watcher::set_poll_wait(std::optional<duration> wait)
+{
+    poll_wait_ = wait.value_or(poll_wait);
+}
+
+void route_configuration_watcher::set_continuous(bool continuous)
+{
+    continuous_ = continuous;
+    if (continuous)
+        read_once();
+}
+
+void route_configuration_watcher::read_once()
+{
+    if (!busy_)
+        read();
+}
+
 void route_configuration_watcher::schedule_read(duration delay)
 {
+    busy_ = continuous_;
+    if (!continuous_)
+        return;
     timer_.expires_after(delay);
     timer_.async_wait(
         [this](boost::system::error_code ec)
@@ -46,6 +68,7 @@
 
 void route_configuration_watcher::read()
 {
+    busy_ = true;
     time_point const requested_at = clock_();
     platform_.read(
         codec_.configuration_key(),
@@ -80,16 +103,19 @@
 
 void route_configuration_watcher::poll()
 {
+    busy_ = continuous_;
+    if (!continuous_)
+        return;
     time_point const requested_at = clock_();
     poller_.poll_changes(
         codec_.configuration_key(),
         revision_,
-        poll_wait,
-        [this, requested_at, weak = std::weak_ptr{alive_}](
+        poll_wait_,
+        [this, requested_at, wait = poll_wait_, weak = std::weak_ptr{alive_}](
             result<change_batch> const& batch)
         {
             if (!weak.expired())
-                on_changes(batch, requested_at);
+                on_changes(batch, requested_at, wait);
         });
 }
 
@@ -97,7 +123,7 @@
 // configuration existed when the wait ended. After a shorter wait this is
 // certain only for the time of the call.
 void route_configuration_watcher::on_changes(
-    result<change_batch> const& batch, time_point requested_at)
+    result<change_batch> const& batch, time_point requested_at, duration wait)
 {
     if (!batch)
     {
@@ -112,8 +138,8 @@
     if (batch->events.empty())
     {
         duration const waited = clock_() - requested_at;
-        bool const waited_in_full = waited >= poll_wait;
-        confirmed_(waited_in_full ? requested_at + poll_wait : requested_at);
+        bool const waited_in_full = waited >= wait;
+        confirmed_(waited_in_full ? requested_at + wait : requested_at);
         if (!waited_in_full)
         {
             schedule_read(retry_delay);
