Judge streams by their events, and close none without another replica

Each byte of a stream counted as progress, so that a replica that sent a byte now and then was never taken for stalled; only whole events count now, also for the gaps that the stream limit measures.

--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -238,6 +238,9 @@
     [[nodiscard]] bool is_stalled(request_state const& request, time_point now);
     [[nodiscard]] bool
     slows_group_down(request_state const& request, time_point now);
+    /// Whether another replica can take a request.
+    [[nodiscard]] bool
+    has_alternative(request_state const& request, time_point now);
     void move_to_other_replica(
         request_iterator it,
         std::string const& reason,
--- a/src/relay/relay_responses.cpp
+++ b/src/relay/relay_responses.cpp
@@ -150,6 +150,12 @@
         return out;
     request_state& request = it->second;
     service_state& service = service_state_for(request.service);
+    // Part of an event is no progress: a stalled replica may send a byte now
+    // and then.
+    if (request.is_event_stream)
+        bytes = request.events.append(bytes);
+    if (bytes.empty())
+        return out;
     if (request.is_event_stream && request.first_data_at)
     {
         duration const gap = now - request.last_progress;
@@ -159,10 +165,6 @@
     }
     request.last_progress = now;
     service.last_progress = now;
-    if (request.is_event_stream)
-        bytes = request.events.append(bytes);
-    if (bytes.empty())
-        return out;
     if (!request.first_data_at)
         request.first_data_at = now;
     request.phase = request_phase::responding;
@@ -353,7 +355,11 @@
         }
         return;
     }
-    bool const stalled = is_stalled(request, now);
+    // A stream that has begun is better slow than cut, which it would be if no
+    // other replica took it.
+    bool const stalled =
+        is_stalled(request, now) &&
+        (!request.first_data_at || has_alternative(request, now));
     bool const must_move = stalled || slows_group_down(request, now);
     if (must_move && may_retry(request, true, now))
     {
@@ -385,6 +391,15 @@
         });
 }
 
+bool relay_core::has_alternative(request_state const& request, time_point now)
+{
+    std::vector<candidate> const alternatives = candidates_for(request, now);
+    return std::any_of(
+        alternatives.begin(),
+        alternatives.end(),
+        [](candidate const& it) { return it.in_flight <= it.limit; });
+}
+
 void relay_core::move_to_other_replica(
     request_iterator it,
     std::string const& reason,
