Change maps while a few agents are stopped

Cause (listed as not proved since the first maps): a coordinator plans only while all ranks report, and read a silent rank itself only during a switch. In a rolling restart some agent is stopped nearly always, and a killed one took the maps of its whole group with it for seconds.

Change: ranks of up to eight silent agents are read directly, also while no map is changed, and ordered directly; what they accept is recorded, as they report other VMs a state some 200 ms old. An idle group counts as clear only by reports younger than that. More silent agents mean that VMs are lost, and the group with them.

Test: 'maps are changed while an agent is stopped' (also: its whole map is sent at most twice).

--- a/include/hornbeamweir/expert_map/hold_coordinator.hpp
+++ b/include/hornbeamweir/expert_map/hold_coordinator.hpp
@@ -84,7 +84,8 @@
         std::optional<rank_experts> experts,
         time_point now);
 
-    /// \brief Records that a rank has accepted a hold or a release.
+    /// \brief Records that a rank has accepted an order that was sent to it
+    /// without its agent.
     /// \remarks Reports from remote ranks show it only some hundred
     /// milliseconds later.
     void on_accepted(rank_order const& order);
@@ -130,6 +131,8 @@
 
     /// \brief Ranks that should be asked for a report, as the current phase
     /// depends on it and the last one is older than an age.
+    /// \remarks While no map is being switched, only if they are few: then maps
+    /// can be changed although some agents are stopped.
     [[nodiscard]] std::vector<std::uint32_t>
     ranks_with_stale_report(duration age, time_point now) const;
 
--- a/include/hornbeamweir/expert_map/rank_state.hpp
+++ b/include/hornbeamweir/expert_map/rank_state.hpp
@@ -53,6 +53,9 @@
     std::uint64_t map_version = 0;
     /// Map that the rank has accepted to copy, as far as its agent knows.
     std::uint64_t accepted_version = 0;
+    /// Whether the coordinator read the state from the rank itself, as its
+    /// agent is silent.
+    bool read_directly = false;
     /// Whether its agent accepts orders that carry only a difference of maps;
     /// agents of earlier versions do not.
     bool agent_accepts_deltas = false;
--- a/src/daemon/rank_agent_daemon.cpp
+++ b/src/daemon/rank_agent_daemon.cpp
@@ -334,6 +334,7 @@
                     return;
                 wire::rank_report report = to_wire(*state);
                 report.set_address(address);
+                report.set_read_directly(true);
                 coordination_.on_report(report);
                 if (!coordination_.knows_experts(state->rank))
                     read_experts_directly(address, *state);
@@ -354,6 +355,7 @@
                     return;
                 wire::rank_report report = to_wire(state);
                 report.set_address(address);
+                report.set_read_directly(true);
                 add_experts(*experts, report);
                 coordination_.on_report(report);
             });
--- a/src/expert_map/hold_coordinator.cpp
+++ b/src/expert_map/hold_coordinator.cpp
@@ -14,6 +14,12 @@
 constexpr duration report_validity = milliseconds{1200};
 /// Time for orders of an earlier coordinator that are still in flight.
 constexpr duration settle_time = milliseconds{250};
+/// Age above which the report of a rank with a silent agent is read again while
+/// a map is changed.
+constexpr duration max_direct_report_age = milliseconds{150};
+/// Number of silent agents whose ranks are read and ordered directly. Each such
+/// order of a map takes the coordinator's link tens of milliseconds.
+constexpr std::size_t max_silent_agents = 8;
 /// Range of versions and fences reserved for each coordinator, so that those of
 /// the next coordinator are higher.
 constexpr std::uint64_t versions_per_fence = 1000;
@@ -61,7 +67,11 @@
                               state.step < view.state.step));
     if (older)
         return;
+    std::uint64_t const accepted_version = view.state.accepted_version;
     view.state = state;
+    // The rank does not report it, only its agent does.
+    if (state.read_directly && same_incarnation)
+        view.state.accepted_version = accepted_version;
     view.reported_at = now;
     if (experts)
     {
@@ -83,6 +93,13 @@
         order.operation == rank_operation::release &&
         state.held_step == order.step)
         state.held_step.reset();
+    else if (order.operation == rank_operation::prepare)
+        state.accepted_version = order.version;
+    else if (order.operation == rank_operation::arm)
+    {
+        state.armed_version = order.version;
+        state.armed_step = order.step;
+    }
 }
 
 bool hold_coordinator::all_ranks_usable(time_point now) const
@@ -346,15 +363,25 @@
 hold_coordinator::ranks_with_stale_report(duration age, time_point now) const
 {
     std::vector<std::uint32_t> out;
-    bool const needed = leading_ && phase_ != phase::idle &&
-                        phase_ != phase::preparing && now >= active_from_;
-    if (!needed)
+    if (!leading_ || now < active_from_)
         return out;
+    bool const is_quiet = phase_ == phase::idle || phase_ == phase::preparing;
+    std::size_t silent_agents = 0;
     for (auto const& [rank, view] : views_)
     {
-        if (now - view.reported_at > age)
+        bool const is_silent =
+            view.state.read_directly || now - view.reported_at > age;
+        silent_agents += is_silent ? 1 : 0;
+        duration const max_age =
+            view.state.read_directly && phase_ != phase::idle
+                ? std::min(age, max_direct_report_age)
+                : age;
+        if (now - view.reported_at > max_age)
             out.push_back(rank);
     }
+    // After the loss of many VMs the group itself is broken.
+    if (is_quiet && silent_agents > max_silent_agents)
+        out.clear();
     return out;
 }
 
--- a/src/expert_map/hold_phases.cpp
+++ b/src/expert_map/hold_phases.cpp
@@ -240,6 +240,8 @@
 // ranks prepare with a higher fence, shuts out the other orders.
 bool hold_coordinator::has_nothing_to_clear(time_point now) const
 {
+    // What a rank tells other VMs is some hundred milliseconds old.
+    constexpr duration direct_report_lag = milliseconds{300};
     time_point const settled_at = phase_entered_ + settle_time;
     return cleared_.empty() && !disarming_ && all_ranks_usable(now) &&
            std::all_of(
@@ -248,8 +250,11 @@
                [&](auto const& it)
                {
                    rank_view const& view = it.second;
-                   return view.reported_at >= settled_at && !is_armed(view) &&
-                          !view.state.held_step;
+                   duration const lag = view.state.read_directly
+                                            ? direct_report_lag
+                                            : duration{};
+                   return view.reported_at >= settled_at + lag &&
+                          !is_armed(view) && !view.state.held_step;
                });
 }
 
--- a/src/peers/rank_messages.cpp
+++ b/src/peers/rank_messages.cpp
@@ -71,6 +71,7 @@
     out.accepted_version = in.accepted_version();
     out.agent_accepts_deltas = in.accepts_deltas();
     out.agent_knows_initial_map = in.knows_initial_map();
+    out.read_directly = in.read_directly();
     out.prepared_version = in.prepared_version();
     out.armed_version = in.armed_version();
     out.armed_step = in.armed_step();
--- a/test/expert_map/hold_guards_test.cpp
+++ b/test/expert_map/hold_guards_test.cpp
@@ -205,6 +205,62 @@
     CHECK(prepared.size() == ranks);
 }
 
+// During a rolling restart some agent is always stopped. Its rank is read and
+// ordered directly, so that maps are still changed.
+TEST_CASE("maps are changed while an agent is stopped", "[hold]")
+{
+    constexpr std::uint32_t silent = 1;
+    recorded_group group;
+    group.coordinator.become_coordinator(5, 0, std::nullopt, group.now);
+    group.run(milliseconds{600});
+    bool started = false;
+    for (time_point const end = group.now + milliseconds{6000}; group.now < end;
+         group.now += tick)
+    {
+        group.engines.advance(group.now);
+        group.engines.begin_pass(group.now);
+        group.report(0);
+        group.report(2);
+        for (std::uint32_t const rank :
+             group.coordinator.ranks_with_stale_report(
+                 milliseconds{350}, group.now))
+        {
+            CHECK(rank == silent);
+            rank_state state = group.engines.state(rank);
+            state.accepted_version = 0;
+            state.read_directly = true;
+            group.coordinator.on_report(
+                state,
+                group.engines.experts(rank, state.map_version),
+                group.now);
+        }
+        // The last report of the stopped agent is out of date at first.
+        if (!started && group.now > end - milliseconds{4000} &&
+            group.coordinator.ready_for_map(group.now))
+        {
+            started = true;
+            group.coordinator.start(make_map(2), group.now);
+        }
+        for (rank_order const& it : group.coordinator.on_tick(group.now))
+        {
+            group.ordered.push_back(it);
+            if (group.engines.execute(it, group.now) && it.rank == silent)
+                group.coordinator.on_accepted(it);
+        }
+    }
+    CHECK(started);
+    CHECK(group.coordinator.maps_switched() == 1);
+    CHECK(group.engines.mixed_passes() == 0);
+    // The whole map is not sent to it again and again.
+    auto const prepares = std::count_if(
+        group.ordered.begin(),
+        group.ordered.end(),
+        [](rank_order const& it) {
+            return it.rank == silent && it.operation == rank_operation::prepare;
+        });
+    CHECK(prepares <= 2);
+}
+
 namespace
 {
 
