--- a/src/expert_map/hold_orders.cpp
+++ b/src/expert_map/hold_orders.cpp
@@ -38,6 +38,15 @@
 constexpr double bytes_per_list = 4;
 constexpr double bytes_per_cell = 1.5;
 
+duration repeat_interval(rank_operation operation, std::uint32_t ranks)
+{
+    duration const round = time_per_rank * ranks;
+    return operation == rank_operation::prepare
+               ? std::max(
+                     min_prepare_repeat_interval, prepare_repeat_factor * round)
+               : std::max(min_repeat_interval, round);
+}
+
 double encoded_bytes(group_experts const& map)
 {
     double out = order_bytes;
@@ -78,13 +87,8 @@
     prepare_encoding const encoding =
         is_prepare ? encoding_of_prepare(view.state, last.times)
                    : prepare_encoding{};
-    duration const round = time_per_rank * view.state.ranks;
-    duration const min_interval =
-        is_prepare
-            ? std::max(
-                  min_prepare_repeat_interval, prepare_repeat_factor * round)
-            : std::max(min_repeat_interval, round);
-    if (repeated && now - last.sent_at < min_interval)
+    if (repeated &&
+        now - last.sent_at < repeat_interval(operation, view.state.ranks))
         return;
     // Orders that agents pass on leave this VM only once for several ranks.
     bool const may_be_relayed =
--- a/test/expert_map/hold_guards_test.cpp
+++ b/test/expert_map/hold_guards_test.cpp
@@ -129,6 +129,22 @@
     CHECK(*group.coordinator.in_force() == make_map(2));
 }
 
+// The incarnation of a rank is the time of day at its start, which may have
+// been set back.
+TEST_CASE("a rank that restarts at an earlier time of day is heard", "[hold]")
+{
+    recorded_group group;
+    group.coordinator.become_coordinator(5, 0, std::nullopt, group.now);
+    group.run(milliseconds{600});
+    rank_state restarted = group.engines.state(1);
+    restarted.epoch += 1;
+    restarted.incarnation = 0;
+    restarted.map_version = 77;
+    group.coordinator.on_report(restarted, std::nullopt, group.now);
+    // The other ranks are still in the epoch before.
+    CHECK(group.coordinator.in_force() == nullptr);
+}
+
 TEST_CASE("orders of a later change have a higher fence", "[hold]")
 {
     recorded_group group;
