Let a silent stream be silent in its test

The test of the slow stream passed on the code before its fix, as it sent empty data, which counted as progress there. It now sends nothing, and fails on that code, as does the one of the dripping stream.

--- a/test/relay/stream_stall_test.cpp
+++ b/test/relay/stream_stall_test.cpp
@@ -54,15 +54,24 @@
                 second.attempt,
                 "id: " + std::to_string(events) + "\ndata: x\n\n",
                 fixture.now));
-            for (actions const& it :
-                 {fixture.core.on_data(
-                      first.exchange, first.attempt, first_bytes, fixture.now),
-                  fixture.core.on_tick(fixture.now)})
-                out.insert(out.end(), it.begin(), it.end());
+            if (!first_bytes.empty())
+                append(
+                    out,
+                    fixture.core.on_data(
+                        first.exchange,
+                        first.attempt,
+                        first_bytes,
+                        fixture.now));
+            append(out, fixture.core.on_tick(fixture.now));
         }
         return out;
     }
 
+    static void append(actions& to, actions const& from)
+    {
+        to.insert(to.end(), from.begin(), from.end());
+    }
+
     relay_fixture fixture;
     open_attempt first;
     open_attempt second;
