Look up an agent once for an order, and split long files

Found by reading the change: the coordinator looked up an agent's endpoint three times while it sent one relayed order, each time against the clock. A process that was suspended in between, or an age that reached its limit, left it without an endpoint that it had just seen, and it dereferenced nothing: a paused process would have ended. An order's endpoints are looked up once now, in order_sender, with one time.

Moved without change: order_sender out of the agent's daemon, relay_exclusions.cpp out of relay_core's dispatch and responses, random maps out of map_distribution_bench.

--- a/bench/map_distribution_bench.cpp
+++ b/bench/map_distribution_bench.cpp
@@ -4,6 +4,7 @@
 #include <hornbeamweir/peers/rank_messages.hpp>
 #include <hornbeamweir/peers/report_schedule.hpp>
 
+#include "lock_step/random_experts.hpp"
 #include "test/support/engine_group.hpp"
 
 #include <cstdio>
@@ -18,6 +19,7 @@
 {
 
 using namespace hornbeamweir;
+using bench::lock_step::with_random_experts;
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
@@ -108,7 +110,10 @@
             run_until([this] { return coordinator_.ready_for_map(now_); });
             std::uint64_t const before = coordinator_.maps_switched();
             time_point const started = now_;
-            coordinator_.start(next_map(), now_);
+            coordinator_.start(
+                with_random_experts(
+                    *coordinator_.in_force(), conditions_.experts, random_),
+                now_);
             run_until([&] { return coordinator_.maps_switched() > before; });
             duration const elapsed = now_ - started;
             out.maps_in_force += coordinator_.maps_switched() > before ? 1 : 0;
@@ -301,45 +306,6 @@
         events_.emplace(at, std::move(action));
     }
 
-    /// Another map, in which each rank gets an expert in every other set.
-    [[nodiscard]] group_experts next_map()
-    {
-        group_experts out = *coordinator_.in_force();
-        constexpr std::size_t places = 3;
-        for (std::vector<std::vector<std::uint16_t>>& set : out)
-        {
-            std::vector<int> copies(conditions_.experts, 0);
-            for (std::vector<std::uint16_t> const& list : set)
-            {
-                for (std::uint16_t const it : list)
-                    ++copies[it];
-            }
-            for (std::vector<std::uint16_t>& list : set)
-            {
-                std::uint16_t const added = static_cast<std::uint16_t>(
-                    random_.below(conditions_.experts));
-                auto const spare = std::find_if(
-                    list.begin(),
-                    list.end(),
-                    [&](std::uint16_t it) { return copies[it] > 1; });
-                if (std::find(list.begin(), list.end(), added) != list.end())
-                    continue;
-                if (list.size() < places)
-                    list.push_back(added);
-                else if (spare != list.end())
-                {
-                    --copies[*spare];
-                    *spare = added;
-                }
-                else
-                    continue;
-                ++copies[added];
-                std::sort(list.begin(), list.end());
-            }
-        }
-        return out;
-    }
-
     scenario conditions_;
     random_source random_;
     null_event_log log_;
--- a/src/daemon/rank_agent_daemon.cpp
+++ b/src/daemon/rank_agent_daemon.cpp
@@ -1,7 +1,6 @@
 #include <hornbeamweir/core/socket_address.hpp>
 #include <hornbeamweir/core/suspend_clock.hpp>
 #include <hornbeamweir/daemon/rank_agent_daemon.hpp>
-#include <hornbeamweir/expert_map/order_relay.hpp>
 #include <hornbeamweir/peers/datagram_link.hpp>
 #include <hornbeamweir/peers/peer_registry.hpp>
 #include <hornbeamweir/telemetry/console_log.hpp>
@@ -9,12 +8,11 @@
 #include "admin_endpoint.hpp"
 #include "daemon_loop.hpp"
 #include "group_coordination.hpp"
+#include "order_sender.hpp"
 #include "rank_monitor.hpp"
 
 #include <boost/json/serialize.hpp>
 
-#include <sstream>
-
 namespace hornbeamweir
 {
 
@@ -53,13 +51,6 @@
                   : udp_address{};
 }
 
-std::string to_text(udp_address const& address)
-{
-    std::ostringstream out;
-    out << address;
-    return std::move(out).str();
-}
-
 } // namespace
 
 class rank_agent_daemon::impl
@@ -79,9 +70,10 @@
         , monitor_{rank_, log_, suspend_aware_now, settings_.rank_address, settings_.service, [this](rank_state const& state) { on_rank_state(state); }}
         , admin_{loop_.context(), settings_.metrics_address, metrics_, admin_pages{[this] { return monitor_.has_state(); }, [this] { return status(); }, {}}}
         , platform_{connect(loop_.context(), settings_.platform_address)}
-        , coordination_{*platform_, records, log_, metrics_, suspend_aware_now, random_source{random_.next()}, settings_.name.str(), settings_.link_megabits_per_second, [this](std::vector<rank_order> const& orders) { route_orders(orders); }}
+        , coordination_{*platform_, records, log_, metrics_, suspend_aware_now, random_source{random_.next()}, settings_.name.str(), settings_.link_megabits_per_second, [this](std::vector<rank_order> const& orders) { orders_.send(orders, suspend_aware_now()); }}
         , registry_{loop_.context(), *platform_, log_, std::string{agent_role}, settings_.name, udp_endpoint(settings_.peers_address)}
         , link_{loop_.context(), udp_endpoint(settings_.peers_address), std::string{agent_role}, settings_.name.str(), random_.next(), metrics_, [this](udp_address const& from, wire::datagram const& message) { on_datagram(from, message); }}
+        , orders_{coordination_, link_, log_, settings_.rank_address, {[this](rank_order const& order) { execute(order); }, [this](std::string const& address, rank_order const& order) { execute_directly(address, order); }}}
     {
     }
 
@@ -191,103 +183,6 @@
             link_.send(to, message);
     }
 
-    /// Orders of a new map are large, so agents pass them on to each other.
-    void route_orders(std::vector<rank_order> const& orders)
-    {
-        std::vector<rank_order> relayed;
-        for (rank_order const& it : orders)
-        {
-            std::string const address = coordination_.address_of(it.rank);
-            if (it.may_be_relayed && address != settings_.rank_address &&
-                reporting_agent(address))
-                relayed.push_back(it);
-            else
-                route_order(it);
-        }
-        for (relayed_order const& it : plan_relay(relayed))
-            send_relayed(it);
-    }
-
-    void send_relayed(relayed_order const& relayed)
-    {
-        wire::datagram message;
-        *message.mutable_order() = to_wire(relayed.order);
-        for (order_recipient const& it : relayed.recipients)
-        {
-            wire::order_recipient& to =
-                *message.mutable_order()->add_recipients();
-            to.set_rank(it.rank);
-            to.set_expected_orders(it.expected_orders);
-            to.set_agent(
-                to_text(*reporting_agent(coordination_.address_of(it.rank))));
-        }
-        link_.send(
-            *reporting_agent(coordination_.address_of(relayed.order.rank)),
-            message);
-    }
-
-    void pass_on(wire::rank_order const& order)
-    {
-        for (passed_on_order& it : orders_to_pass_on(order))
-        {
-            udp_address const to = udp_endpoint(it.agent);
-            if (to.port() == 0)
-            {
-                event line{"order_not_passed_on"};
-                line.with("rank", it.message.rank())
-                    .with("version", order.version())
-                    .with("reason", "found no agent address");
-                log_.warning(line);
-                continue;
-            }
-            wire::datagram message;
-            *message.mutable_order() = std::move(it.message);
-            link_.send(to, std::move(message));
-        }
-    }
-
-    /// \returns Endpoint of the agent of the rank at an address; std::nullopt
-    /// if it has not reported within max_report_age().
-    [[nodiscard]] std::optional<udp_address>
-    reporting_agent(std::string const& address) const
-    {
-        auto const it = agents_.find(address);
-        if (it == agents_.end() ||
-            suspend_aware_now() - it->second.last_contact >=
-                max_report_age(coordination_.ranks()))
-            return std::nullopt;
-        return it->second.endpoint;
-    }
-
-    /// Holds and releases go directly to the rank, so that the failure of the
-    /// coordinator's or the rank's VM does not affect the other. Other orders
-    /// go through the rank's agent, whose calls to it cause no traffic cost, or
-    /// directly if the agent has not reported within max_report_age().
-    void route_order(rank_order const& order)
-    {
-        std::string const address = coordination_.address_of(order.rank);
-        bool const direct = order.operation == rank_operation::hold ||
-                            order.operation == rank_operation::release;
-        if (direct && !address.empty() && address != settings_.rank_address)
-        {
-            execute_directly(address, order);
-            return;
-        }
-        if (address == settings_.rank_address)
-        {
-            execute(order);
-            return;
-        }
-        if (std::optional<udp_address> const agent = reporting_agent(address))
-        {
-            wire::datagram message;
-            *message.mutable_order() = to_wire(order);
-            link_.send(*agent, message);
-        }
-        else if (!address.empty())
-            execute_directly(address, order);
-    }
-
     void execute(rank_order const& order)
     {
         rank_.send_order(
@@ -405,12 +300,12 @@
         }
         else if (message.has_report())
         {
-            agents_[message.report().address()] = {from, now};
+            orders_.on_agent_report(message.report().address(), from, now);
             coordination_.on_report(message.report());
         }
         else if (message.has_order())
         {
-            pass_on(message.order());
+            orders_.pass_on(message.order());
             rank_order order = from_wire(message.order());
             if (order.operation == rank_operation::prepare &&
                 !receive_map(message.order(), order))
@@ -460,12 +355,6 @@
         log_.info(line);
     }
 
-    struct agent_contact
-    {
-        udp_address endpoint;
-        time_point last_contact{};
-    };
-
     rank_agent_settings settings_;
     std::function<settings_result<rank_agent_settings>()> read_settings_;
     console_log log_;
@@ -479,7 +368,7 @@
     group_coordination coordination_;
     peer_registry registry_;
     datagram_link link_;
-    std::map<std::string, agent_contact> agents_;
+    order_sender orders_;
     udp_address coordinator_;
     time_point last_heartbeat_at_{};
     time_point entries_reported_at_{};
--- a/src/daemon/state_exchange.cpp
+++ b/src/daemon/state_exchange.cpp
@@ -111,7 +111,8 @@
     }
     if (!next.ask)
         return;
-    auto const& entries = peers_.peers(role_);
+    std::map<process_name, datagram_link::endpoint> const& entries =
+        peers_.peers(role_);
     auto const to = entries.find(*next.ask);
     // Without an endpoint the question stays unanswered.
     if (to == entries.end())
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -159,45 +159,6 @@
         out);
 }
 
-std::optional<duration>
-relay_core::backoff_of(service_name const& name, time_point now) const
-{
-    std::optional<duration> out;
-    for (replica const* it : directory_.usable(name))
-    {
-        if (exclusions_.is_leaving(*it))
-            continue;
-        std::optional<time_point> const until =
-            exclusions_.backing_off_until(it->id, now);
-        if (!until)
-            return std::nullopt;
-        out = std::min(out.value_or(*until - now), *until - now);
-    }
-    return out;
-}
-
-void relay_core::reject_for_backoff(
-    request_iterator it, duration delay, time_point now, actions& out)
-{
-    send_error response;
-    response.code = result_code::no_backend_server;
-    response.state = execution_state::not_run;
-    response.detail = "all replicas have asked for a pause";
-    response.retry_after = retry_after_.plan_after(delay);
-    send_rejection(it, std::move(response), now, out);
-}
-
-void relay_core::reject_queued_for_backoff(
-    service_state& state, duration delay, time_point now, actions& out)
-{
-    while (std::optional<queued_request> const next = state.queue.pop(now))
-    {
-        request_iterator const it = requests_.find(std::stoull(next->id.str()));
-        if (it != requests_.end())
-            reject_for_backoff(it, delay, now, out);
-    }
-}
-
 // A new request waits only as long as it can still meet the target latency. A
 // caller's retry is late in any case: it gets a lower priority, but may wait
 // longer.
--- /dev/null
+++ b/src/relay/relay_exclusions.cpp
@@ -0,0 +1,79 @@
+#include <hornbeamweir/relay/relay_core.hpp>
+
+#include <algorithm>
+
+namespace hornbeamweir::relay
+{
+
+void relay_core::observe_replica(
+    request_state const& request,
+    replica_response_head const& head,
+    time_point now)
+{
+    replica const* const target = directory_.find(request.target);
+    if (head.is_leaving && target && exclusions_.on_leaving(*target))
+    {
+        event line{"replica_excluded"};
+        line.with("id", request.message.id)
+            .with("replica", request.target)
+            .with("reason", "leaving")
+            .with("registration", target->registration_revision);
+        log_.info(line);
+        metrics_.count(
+            "hornbeamweir_replicas_excluded_total", {{"reason", "leaving"}});
+    }
+    if (!head.retry_after)
+        return;
+    time_point const until =
+        exclusions_.on_retry_after(request.target, *head.retry_after, now);
+    event line{"replica_excluded"};
+    line.with("id", request.message.id)
+        .with("replica", request.target)
+        .with("reason", "retry_after")
+        .with("asked_ms", head.retry_after->count() / 1000)
+        .with("for_ms", (until - now).count() / 1000);
+    log_.info(line);
+    metrics_.count(
+        "hornbeamweir_replicas_excluded_total", {{"reason", "retry_after"}});
+}
+
+std::optional<duration>
+relay_core::backoff_of(service_name const& name, time_point now) const
+{
+    std::optional<duration> out;
+    for (replica const* it : directory_.usable(name))
+    {
+        if (exclusions_.is_leaving(*it))
+            continue;
+        std::optional<time_point> const until =
+            exclusions_.backing_off_until(it->id, now);
+        if (!until)
+            return std::nullopt;
+        out = std::min(out.value_or(*until - now), *until - now);
+    }
+    return out;
+}
+
+void relay_core::reject_for_backoff(
+    request_iterator it, duration delay, time_point now, actions& out)
+{
+    send_error response;
+    response.code = result_code::no_backend_server;
+    response.state = execution_state::not_run;
+    response.detail = "all replicas have asked for a pause";
+    response.retry_after = retry_after_.plan_after(delay);
+    send_rejection(it, std::move(response), now, out);
+}
+
+void relay_core::reject_queued_for_backoff(
+    service_state& state, duration delay, time_point now, actions& out)
+{
+    while (std::optional<queued_request> const next = state.queue.pop(now))
+    {
+        request_iterator const it = requests_.find(std::stoull(next->id.str()));
+        if (it != requests_.end())
+            reject_for_backoff(it, delay, now, out);
+    }
+}
+
+} // namespace hornbeamweir::relay
--- a/src/relay/relay_responses.cpp
+++ b/src/relay/relay_responses.cpp
@@ -97,38 +97,6 @@
     return out;
 }
 
-void relay_core::observe_replica(
-    request_state const& request,
-    replica_response_head const& head,
-    time_point now)
-{
-    replica const* const target = directory_.find(request.target);
-    if (head.is_leaving && target && exclusions_.on_leaving(*target))
-    {
-        event line{"replica_excluded"};
-        line.with("id", request.message.id)
-            .with("replica", request.target)
-            .with("reason", "leaving")
-            .with("registration", target->registration_revision);
-        log_.info(line);
-        metrics_.count(
-            "hornbeamweir_replicas_excluded_total", {{"reason", "leaving"}});
-    }
-    if (!head.retry_after)
-        return;
-    time_point const until =
-        exclusions_.on_retry_after(request.target, *head.retry_after, now);
-    event line{"replica_excluded"};
-    line.with("id", request.message.id)
-        .with("replica", request.target)
-        .with("reason", "retry_after")
-        .with("asked_ms", head.retry_after->count() / 1000)
-        .with("for_ms", (until - now).count() / 1000);
-    log_.info(line);
-    metrics_.count(
-        "hornbeamweir_replicas_excluded_total", {{"reason", "retry_after"}});
-}
-
 void relay_core::forward(request_iterator it, std::string bytes, actions& out)
 {
     request_state& request = it->second;
--- a/test/expert_map/hold_guards_test.cpp
+++ b/test/expert_map/hold_guards_test.cpp
@@ -268,7 +268,7 @@
     CHECK(group.coordinator.maps_switched() == 1);
     CHECK(group.engines.mixed_passes() == 0);
     // The whole map is not sent to it again and again.
-    auto const prepares = std::count_if(
+    std::ptrdiff_t const prepares = std::count_if(
         group.ordered.begin(),
         group.ordered.end(),
         [](rank_order const& it) {
