--- a/include/hornbeamweir/expert_map/hold_coordinator.hpp
+++ b/include/hornbeamweir/expert_map/hold_coordinator.hpp
@@ -224,6 +224,10 @@
     void run_arming(time_point now, orders& out);
     void run_releasing(time_point now, orders& out);
     void run_clearing(time_point now, orders& out);
+    /// Orders ranks that hold a pass to release it.
+    /// \returns Whether any holds one.
+    [[nodiscard]] bool release_held(
+        std::optional<std::uint32_t> excluded, time_point now, orders& out);
     void clear_armed(
         std::set<std::uint32_t> const& armed,
         bool all_armed,
--- a/src/expert_map/hold_phases.cpp
+++ b/src/expert_map/hold_phases.cpp
@@ -163,17 +163,12 @@
 
 void hold_coordinator::run_releasing(time_point now, orders& out)
 {
-    bool held = false;
-    bool switched = true;
-    for (auto const& [rank, view] : views_)
-    {
-        switched = switched && view.state.map_version == version_;
-        if (!view.state.held_step)
-            continue;
-        held = true;
-        order(
-            rank, rank_operation::release, 0, *view.state.held_step, now, out);
-    }
+    bool const held = release_held(std::nullopt, now, out);
+    bool const switched = std::all_of(
+        views_.begin(),
+        views_.end(),
+        [this](auto const& it)
+        { return it.second.state.map_version == version_; });
     if (held || !switched)
         return;
     ++maps_switched_;
@@ -320,17 +315,23 @@
                 now);
         return;
     }
+    if (!release_held(missing, now, out))
+        enter(phase::idle, "no rank is armed and no pass held", now);
+}
+
+bool hold_coordinator::release_held(
+    std::optional<std::uint32_t> excluded, time_point now, orders& out)
+{
     bool held = false;
     for (auto const& [rank, view] : views_)
     {
-        if (!view.state.held_step || rank == missing)
+        if (!view.state.held_step || rank == excluded)
             continue;
         held = true;
         order(
             rank, rank_operation::release, 0, *view.state.held_step, now, out);
     }
-    if (!held)
-        enter(phase::idle, "no rank is armed and no pass held", now);
+    return held;
 }
 
 } // namespace hornbeamweir
