--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -258,7 +258,8 @@
         time_point now,
         actions& out);
     /// Ends a request with an error.
-    /// \param response The error; the fields that name the request are set here.
+    /// \param response The error; its fields that name the request are set
+    /// here.
     void send_rejection(
         request_iterator it, send_error response, time_point now, actions& out);
     /// Rejects a request that resolve() did not accept.
