Log how far a failed attempt was answered, and the shared parts of its prompt

The hypotheses of docs/incidents/crashing-prompts.md differ in what the requests at a crashed replica had in common, and in which of them had begun to be answered; attempt_failed showed neither. Nothing is decided by them yet.

--- a/include/hornbeamweir/relay/relay_request.hpp
+++ b/include/hornbeamweir/relay/relay_request.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace hornbeamweir
 {
@@ -14,6 +15,9 @@
 /// Identifies a request and its response within one process.
 using exchange_id = std::uint64_t;
 
+/// Identifies a part of a prompt by its content.
+using prompt_part_id = identifier<struct prompt_part_tag>;
+
 /// \brief A caller's request, with the relevant header fields decoded.
 struct relay_request
 {
@@ -33,6 +37,9 @@
     std::optional<std::uint64_t> last_event;
     std::uint64_t prompt_tokens = 0;
     std::uint64_t output_tokens = 0;
+    /// Parts of the prompt that other requests may share, in their order;
+    /// without the last part, which belongs to this request alone.
+    std::vector<prompt_part_id> shared_parts;
 
     [[nodiscard]] friend bool
     operator==(relay_request const&, relay_request const&) = default;
--- a/src/relay/relay_responses.cpp
+++ b/src/relay/relay_responses.cpp
@@ -230,13 +230,21 @@
     request_state& request = it->second;
     request.may_have_run = request.may_have_run || may_have_run;
     request.last_failure = reason;
+    char const* const progress = request.first_data_at  ? "data"
+                                 : request.pending_head ? "head"
+                                                        : "none";
     request.pending_head.reset();
     request.events.discard_partial_event();
+    std::string parts;
+    for (prompt_part_id const& part : request.message.shared_parts)
+        parts.append(parts.empty() ? "" : ",").append(part.str());
     event line{"attempt_failed"};
     line.with("id", request.message.id)
         .with("attempt", request.attempt)
         .with("replica", request.target)
         .with("may_have_run", may_have_run ? "yes" : "no")
+        .with("answer", progress)
+        .with("shared_parts", parts)
         .with("reason", reason);
     log_.info(line);
     if (!may_retry(request, may_have_run, now))
