Reproduce prompts that crash replica after replica, failing

A simulation of one entry in virtual time: each replica that begins to answer a prompt with the part "bad" ends, refuses connections for 2 s and returns.

--- /dev/null
+++ b/test/support/crash_simulation.cpp
@@ -0,0 +1,268 @@
+#include "crash_simulation.hpp"
+
+#include "relay_fixture.hpp"
+
+#include <algorithm>
+
+namespace test
+{
+
+using namespace hornbeamweir;
+using namespace hornbeamweir::relay;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr milliseconds step_time{10};
+constexpr milliseconds wait_time{20};
+constexpr milliseconds first_event_time{50};
+constexpr milliseconds answer_time{400};
+constexpr milliseconds restart_time{2000};
+constexpr milliseconds stall_time{1500};
+constexpr std::size_t counted_crashes = 5;
+constexpr milliseconds detection_time{3000};
+
+route stream_route()
+{
+    route out;
+    out.name = "stream";
+    out.host = "h";
+    out.prefix = "/";
+    out.services = {{service_name{"lm"}, 1}};
+    out.retries = retry_class::resumable_stream;
+    out.streaming = true;
+    out.open_to_all = true;
+    out.timeout = milliseconds{8000};
+    out.target_latency = milliseconds{500};
+    out.max_attempts = 2;
+    return out;
+}
+
+} // namespace
+
+crash_simulation::crash_simulation(options const& chosen)
+    : options_{chosen}
+    , replicas_(chosen.replicas)
+{
+    route_configuration configuration;
+    configuration.version = 1;
+    configuration.routes = {stream_route()};
+    configuration.services = {{service_name{"lm"}, 100, {}}};
+    for (std::size_t n = 0; n < chosen.entries; ++n)
+    {
+        relay_settings settings;
+        settings.data_centre = data_centre_id{"a"};
+        settings.retry_budget.allowance = 1000;
+        entries_.push_back(std::make_unique<relay_core>(
+            settings, log_, metrics_, random_source{chosen.seed + n}));
+        entries_.back()->routes().update(configuration, now_);
+    }
+    register_replicas();
+}
+
+std::string crash_simulation::id_of(std::size_t replica) const
+{
+    return std::to_string(replica) + "-" +
+           std::to_string(replicas_[replica].incarnation);
+}
+
+void crash_simulation::register_replicas()
+{
+    std::map<backend_server_id, replica> snapshot;
+    for (std::size_t n = 0; n < replicas_.size(); ++n)
+    {
+        replica it;
+        it.id = backend_server_id{id_of(n)};
+        it.service = service_name{"lm"};
+        it.address = "127.0.0.1:" + std::to_string(n + 1);
+        it.data_centre = data_centre_id{"a"};
+        it.slots = 8;
+        it.registration_revision = replicas_[n].incarnation + 1;
+        snapshot.emplace(it.id, it);
+    }
+    for (std::unique_ptr<relay_core> const& it : entries_)
+        static_cast<void>(it->replicas().update(snapshot, now_));
+}
+
+void crash_simulation::request(
+    std::size_t entry, std::vector<std::string> const& parts)
+{
+    relay_request out;
+    out.id = request_id{std::to_string(++last_exchange_)};
+    out.method = "POST";
+    out.target = "/x";
+    out.host = "h";
+    out.caller_timeout = milliseconds{8000};
+    for (std::string const& it : parts)
+        out.shared_parts.emplace_back(it);
+    sent_request sent{parts, false};
+    sent.crashing =
+        std::find(parts.begin(), parts.end(), crashing_part_) != parts.end();
+    totals_.sound += sent.crashing ? 0 : 1;
+    requests_.emplace(last_exchange_, std::move(sent));
+    exchange_id const id = last_exchange_;
+    apply(entry, entries_[entry]->on_request(id, std::move(out), now_));
+}
+
+void crash_simulation::apply(std::size_t entry, actions const& decided)
+{
+    for (action const& it : decided)
+    {
+        if (open_attempt const* sent = std::get_if<open_attempt>(&it))
+            open(entry, *sent);
+        else if (close_attempt const* gone = std::get_if<close_attempt>(&it))
+            close(entry, gone->exchange);
+        else if (send_end const* end = std::get_if<send_end>(&it))
+            totals_.sound_answered +=
+                requests_.at(end->exchange).crashing ? 0 : 1;
+    }
+}
+
+void crash_simulation::open(std::size_t entry, open_attempt const& it)
+{
+    std::size_t const n = std::stoul(it.target.id.str());
+    attempt_state const created{entry, it.exchange, it.attempt, now_, 0};
+    if (!replicas_[n].up || it.target.id.str() != id_of(n))
+    {
+        fail(created, false, "Connection refused");
+        return;
+    }
+    if (requests_.at(it.exchange).crashing)
+    {
+        ++totals_.crashing_sent;
+        bool const late = totals_.crashes >= counted_crashes &&
+                          now_ > totals_.fifth_crash + detection_time;
+        totals_.crashing_sent_late += late ? 1 : 0;
+    }
+    replicas_[n].attempts.push_back(created);
+}
+
+void crash_simulation::close(std::size_t entry, exchange_id exchange)
+{
+    for (replica_state& it : replicas_)
+    {
+        std::erase_if(
+            it.attempts,
+            [&](attempt_state const& open)
+            { return open.entry == entry && open.exchange == exchange; });
+    }
+}
+
+void crash_simulation::fail(
+    attempt_state const& it, bool sent, std::string const& reason)
+{
+    apply(
+        it.entry,
+        entries_[it.entry]->on_failed(
+            it.exchange,
+            it.attempt,
+            sent ? attempt_progress::sent : attempt_progress::not_sent,
+            reason,
+            now_));
+}
+
+void crash_simulation::crash(std::size_t replica)
+{
+    replica_state& crashed = replicas_[replica];
+    if (!crashed.up)
+        return;
+    crashed.up = false;
+    crashed.returns_at = now_ + restart_time;
+    if (++totals_.crashes == counted_crashes)
+        totals_.fifth_crash = now_;
+    if (options_.lock_step && stalled_until_ <= now_)
+        stalled_until_ = now_ + stall_time;
+    for (attempt_state const& it : std::exchange(crashed.attempts, {}))
+        fail(it, true, "end of stream");
+}
+
+bool crash_simulation::advance(attempt_state& it)
+{
+    relay_core& entry = *entries_[it.entry];
+    duration const age = now_ - it.began;
+    if (it.progress == 0 && age >= wait_time)
+    {
+        it.progress = 1;
+        apply(
+            it.entry,
+            entry.on_head(it.exchange, it.attempt, signed_response(200), now_));
+        return requests_.at(it.exchange).crashing;
+    }
+    if (it.progress == 1 && age >= first_event_time)
+    {
+        it.progress = 2;
+        apply(
+            it.entry,
+            entry.on_data(it.exchange, it.attempt, "id: 1\ndata: x\n\n", now_));
+    }
+    return false;
+}
+
+void crash_simulation::advance(std::size_t replica)
+{
+    // Answers may lead to new attempts at the same replica.
+    std::vector<attempt_state> open =
+        std::exchange(replicas_[replica].attempts, {});
+    bool crashes = false;
+    for (attempt_state& it : open)
+        crashes = advance(it) || crashes;
+    std::vector<attempt_state> ended;
+    for (attempt_state const& it : open)
+    {
+        bool const ends = !crashes && now_ - it.began >= answer_time;
+        (ends ? ended : replicas_[replica].attempts).push_back(it);
+    }
+    for (attempt_state const& it : ended)
+        apply(
+            it.entry,
+            entries_[it.entry]->on_end(it.exchange, it.attempt, now_));
+    if (crashes)
+        crash(replica);
+}
+
+void crash_simulation::end_stall()
+{
+    stalled_until_ = {};
+    for (replica_state& one : replicas_)
+    {
+        for (attempt_state const& it : std::exchange(one.attempts, {}))
+        {
+            if (it.progress > 0)
+                fail(it, true, "Connection reset by peer");
+            else
+                apply(
+                    it.entry,
+                    entries_[it.entry]->on_head(
+                        it.exchange, it.attempt, not_executed(503), now_));
+        }
+    }
+}
+
+void crash_simulation::step()
+{
+    now_ += step_time;
+    bool registered = false;
+    for (replica_state& it : replicas_)
+    {
+        if (it.up || now_ < it.returns_at)
+            continue;
+        it.up = true;
+        ++it.incarnation;
+        registered = true;
+    }
+    if (registered)
+        register_replicas();
+    bool const stalled = stalled_until_ > now_;
+    if (!stalled && stalled_until_ != time_point{})
+        end_stall();
+    for (std::size_t n = 0; n < replicas_.size() && !stalled; ++n)
+        advance(n);
+    for (std::size_t n = 0; n < entries_.size(); ++n)
+    {
+        entries_[n]->routes().confirm(now_);
+        apply(n, entries_[n]->on_tick(now_));
+    }
+}
+
+} // namespace test
