Keep requests to a replica within the rate that it names, in all entries

What callers saw: nothing yet; a replica in need got 19 requests in 4 s at a named limit of 2.3 a second (allowed 18.8).

Cause: Server-Limit was not read, so requests were placed by load alone.

Change: front_codec decodes it; replica_rate_limits gives each entry a part of the rate that follows its part of the open requests. If there are more entries than the rate plus two, only those that rank first by a hash use the replica, as the sum of single requests would exceed the rate. What an entry has seen goes with its load reports; a limit ends with an answer that names none, or when it isn't named again. If all replicas are used up, requests are rejected at once with 208 and the time until one may go.

Ruled out: retries (the test has none); slowness alone doesn't keep requests away. Equal parts fail with 52 entries by arithmetic (a request of each exceeds 1.5 times 2.3 for 4 s and 5); not run.

--- a/include/hornbeamweir/core/result_code.hpp
+++ b/include/hornbeamweir/core/result_code.hpp
@@ -32,6 +32,7 @@
     retry_budget_exhausted = 205,
     not_ready = 206,
     prompt_quarantined = 207,
+    replicas_rate_limited = 208,
     draining = 300,
     wrong_incarnation = 301,
     start_expired = 302,
@@ -59,7 +60,7 @@
 template <>
 struct enum_table<result_code>
 {
-    static constexpr std::array<enum_name<result_code>, 41> rows{{
+    static constexpr std::array<enum_name<result_code>, 42> rows{{
         {result_code::ok, "ok"},
         {result_code::malformed_request, "malformed_request"},
         {result_code::unauthorized, "unauthorized"},
@@ -79,6 +80,7 @@
         {result_code::retry_budget_exhausted, "retry_budget_exhausted"},
         {result_code::not_ready, "not_ready"},
         {result_code::prompt_quarantined, "prompt_quarantined"},
+        {result_code::replicas_rate_limited, "replicas_rate_limited"},
         {result_code::draining, "draining"},
         {result_code::wrong_incarnation, "wrong_incarnation"},
         {result_code::start_expired, "start_expired"},
--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -7,6 +7,7 @@
 #include <hornbeamweir/relay/replica_chooser.hpp>
 #include <hornbeamweir/relay/replica_exclusions.hpp>
 #include <hornbeamweir/relay/replica_load_tracker.hpp>
+#include <hornbeamweir/relay/replica_rate_limits.hpp>
 #include <hornbeamweir/relay/retry_after_planner.hpp>
 #include <hornbeamweir/relay/retry_budget_share.hpp>
 #include <hornbeamweir/relay/service_activity.hpp>
@@ -26,6 +27,7 @@
 
 struct relay_settings
 {
+    process_name name;
     data_centre_id data_centre;
     /// Staleness of the configuration above which keys are not accepted; less
     /// than the time within which a withdrawn key must stop working.
@@ -61,6 +63,10 @@
     [[nodiscard]] versioned_route_table& routes() noexcept { return routes_; }
     [[nodiscard]] replica_directory& replicas() noexcept { return directory_; }
     [[nodiscard]] replica_load_tracker& loads() noexcept { return loads_; }
+    [[nodiscard]] replica_rate_limits& rate_limits() noexcept
+    {
+        return rate_limits_;
+    }
     [[nodiscard]] prompt_quarantine& quarantine() noexcept
     {
         return quarantine_;
@@ -226,6 +232,20 @@
     /// until the first one may that has asked to be left alone.
     [[nodiscard]] std::optional<duration>
     backoff_of(service_name const& name, time_point now) const;
+    /// \returns Empty if any replica may get requests at once; otherwise how
+    /// long a new request would wait for the rates that replicas have named.
+    [[nodiscard]] std::optional<duration> rate_wait(
+        service_state const& state,
+        service_name const& name,
+        time_point now) const;
+    [[nodiscard]] bool reject_for_rate(
+        request_iterator it, duration max_wait, time_point now, actions& out);
+    /// Records the rate that a response names.
+    void observe_rate(
+        request_state const& request,
+        replica_response_head const& head,
+        time_point now);
+    void share_rates(time_point now);
     void reject_for_backoff(
         request_iterator it, duration delay, time_point now, actions& out);
     /// Rejects queued requests that would wait for longer than they may.
@@ -343,6 +363,8 @@
     failure_tracker failures_;
     replica_exclusions exclusions_;
     prompt_quarantine quarantine_;
+    replica_rate_limits rate_limits_;
+    time_point rates_shared_at_{};
     replica_chooser chooser_;
     retry_after_planner retry_after_;
     bool closed_ = false;
--- a/include/hornbeamweir/relay/relay_request.hpp
+++ b/include/hornbeamweir/relay/relay_request.hpp
@@ -72,6 +72,8 @@
     bool is_leaving = false;
     /// Time for which the replica wants no requests; set only with a 503.
     std::optional<duration> retry_after;
+    /// Requests per second that the replica takes from all entries together.
+    std::optional<double> max_requests_per_second;
     header_list headers;
 
     [[nodiscard]] friend bool operator==(
--- a/include/hornbeamweir/relay/replica_chooser.hpp
+++ b/include/hornbeamweir/relay/replica_chooser.hpp
@@ -27,6 +27,13 @@
     double slowdown = 1;
     /// Recent failure rate, from 0 to 1.
     double failure_rate = 0;
+    /// Whether the rate that the replica has named permits a request now.
+    bool has_turn = true;
+    /// \returns Whether the replica can take a request.
+    [[nodiscard]] bool has_room(std::uint32_t over_limit = 0) const noexcept
+    {
+        return has_turn && in_flight < limit + over_limit;
+    }
 };
 
 /// \brief Cost model of a token step: step + n * per_sequence for n requests.
--- a/include/hornbeamweir/relay/replica_load_tracker.hpp
+++ b/include/hornbeamweir/relay/replica_load_tracker.hpp
@@ -66,6 +66,13 @@
     [[nodiscard]] std::vector<std::uint32_t> peers_in_flight(
         std::vector<replica const*> const& replicas, time_point now) const;
 
+    /// \returns The open requests of this entry at all replicas.
+    [[nodiscard]] std::uint32_t own_total() const;
+    /// \returns The open requests of each other entry at all replicas, from its
+    /// last report.
+    [[nodiscard]] std::map<process_name, std::uint32_t>
+    peer_totals(time_point now) const;
+
     /// \returns The last reported status; the default if there is none or it is
     /// older than max_report_age.
     [[nodiscard]] rank_status
--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -4,6 +4,7 @@
 #include <hornbeamweir/peers/crash_messages.hpp>
 #include <hornbeamweir/peers/datagram_link.hpp>
 #include <hornbeamweir/peers/peer_registry.hpp>
+#include <hornbeamweir/peers/rate_messages.hpp>
 #include <hornbeamweir/relay/load_report_schedule.hpp>
 #include <hornbeamweir/replicas/replica_watcher.hpp>
 #include <hornbeamweir/routes/route_configuration_watcher.hpp>
@@ -65,6 +66,7 @@
     // confirmation of the configuration expires.
     constexpr std::chrono::milliseconds margin{500};
     relay::relay_settings out;
+    out.name = settings.name;
     out.data_centre = settings.data_centre;
     out.max_staleness = std::chrono::duration_cast<duration>(
                             std::chrono::duration<double, std::milli>{
@@ -209,7 +211,7 @@
             load.set_replica(id.str());
             load.set_in_flight(n);
         }
-        message.mutable_load();
+        encode_rates(core_.rate_limits().seen(), now, *message.mutable_load());
         for (auto const& [name, to] : registry_.peers(std::string{entry_role}))
             link_.send(to, message);
     }
@@ -227,6 +229,8 @@
             for (wire::replica_load const& it : message.load().loads())
                 loads[backend_server_id{it.replica()}] = it.in_flight();
             core_.loads().on_peer_load(sender, std::move(loads), now);
+            core_.rate_limits().on_peer_report(
+                sender, decode_rates(message.load(), now));
         }
         else if (message.has_crashes())
             exchanges_.apply(core_.on_crash_report(
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -63,7 +63,8 @@
              loads_.in_flight(it->id),
              std::min(it->slots, limit),
              status.slowdown,
-             failures_.score_of(it->id, now)});
+             failures_.score_of(it->id, now),
+             rate_limits_.delay_of(it->id, now) == duration::zero()});
     }
     // A slow rank delays its whole group, so it gets no new requests while a
     // faster one is available, even if only the slow one has free slots.
@@ -194,6 +195,8 @@
             wait,
             request.matched_route.target_latency * max_stream_wait_factor);
     }
+    if (reject_for_rate(it, wait, now, out))
+        return;
     queued_request item;
     // The exchange id is unique; the id set by the caller may be missing.
     item.id = request_id{std::to_string(it->first)};
@@ -295,6 +298,7 @@
     request.phase = request.first_data_at ? request_phase::responding
                                           : request_phase::awaiting_response;
     loads_.on_attempt_started(target.id);
+    rate_limits_.on_sent(target.id, now);
     ++service_state_for(request.service).own_attempts;
     open_attempt open;
     open.exchange = it->first;
@@ -321,6 +325,7 @@
     actions out;
     loads_.expire(now);
     update_quarantine(now, out);
+    share_rates(now);
     for (auto& [name, state] : services_)
     {
         for (queued_request const& expired : state.queue.expire(now))
--- a/src/relay/relay_exclusions.cpp
+++ b/src/relay/relay_exclusions.cpp
@@ -27,6 +27,7 @@
         metrics_.count(
             "hornbeamweir_replicas_excluded_total", {{"reason", "leaving"}});
     }
+    observe_rate(request, head, now);
     if (!head.retry_after)
         return;
     time_point const until =
--- /dev/null
+++ b/src/relay/relay_rates.cpp
@@ -0,0 +1,92 @@
+#include <hornbeamweir/relay/relay_core.hpp>
+
+namespace hornbeamweir::relay
+{
+
+namespace
+{
+
+/// Interval at which the parts of limits follow the loads of the entries.
+constexpr duration share_interval = std::chrono::milliseconds{100};
+
+} // namespace
+
+void relay_core::observe_rate(
+    request_state const& request,
+    replica_response_head const& head,
+    time_point now)
+{
+    // A different replica has answered.
+    constexpr unsigned misdirected = 421;
+    if (head.status == misdirected)
+        return;
+    bool const changed = rate_limits_.on_answer(
+        request.target,
+        head.max_requests_per_second,
+        request.attempt_started,
+        now);
+    if (!changed)
+        return;
+    std::optional<double> const limit = rate_limits_.limit_of(request.target);
+    event line{"replica_rate_changed"};
+    line.with("id", request.message.id)
+        .with("replica", request.target)
+        .with("limited", limit ? "yes" : "no")
+        .with("per_second", limit.value_or(0));
+    log_.info(line);
+    metrics_.count(
+        "hornbeamweir_replica_rate_changes_total",
+        {{"limited", limit ? "yes" : "no"}});
+}
+
+void relay_core::share_rates(time_point now)
+{
+    if (rate_limits_.empty() || now - rates_shared_at_ < share_interval)
+        return;
+    rates_shared_at_ = now;
+    rate_limits_.set_loads(
+        settings_.name, loads_.own_total(), loads_.peer_totals(now));
+    rate_limits_.refresh(now);
+}
+
+std::optional<duration> relay_core::rate_wait(
+    service_state const& state, service_name const& name, time_point now) const
+{
+    if (rate_limits_.empty())
+        return std::nullopt;
+    std::optional<duration> out;
+    for (replica const* it : directory_.usable(name))
+    {
+        if (exclusions_.is_leaving(*it) ||
+            exclusions_.backing_off_until(it->id, now))
+            continue;
+        std::optional<duration> const delay =
+            rate_limits_.delay_of(it->id, now);
+        if (delay == duration::zero())
+            return std::nullopt;
+        if (delay)
+            out = std::min(out.value_or(*delay), *delay);
+    }
+    // Those that wait already go first.
+    if (out)
+        return *out * static_cast<std::int64_t>(state.queue.size() + 1);
+    return out;
+}
+
+bool relay_core::reject_for_rate(
+    request_iterator it, duration max_wait, time_point now, actions& out)
+{
+    service_name const service = it->second.service;
+    std::optional<duration> const wait =
+        rate_wait(service_state_for(service), service, now);
+    if (!wait || *wait <= max_wait)
+        return false;
+    send_error response;
+    response.code = result_code::replicas_rate_limited;
+    response.detail = "all replicas have named a rate, which is used up";
+    response.retry_after = retry_after_.plan_after(*wait);
+    send_rejection(it, std::move(response), now, out);
+    return true;
+}
+
+} // namespace hornbeamweir::relay
--- a/src/relay/relay_responses.cpp
+++ b/src/relay/relay_responses.cpp
@@ -338,10 +338,8 @@
     return std::any_of(
         alternatives.begin(),
         alternatives.end(),
-        [](candidate const& it) {
-            return it.slowdown < slow_rank_threshold &&
-                   it.in_flight <= it.limit;
-        });
+        [](candidate const& it)
+        { return it.slowdown < slow_rank_threshold && it.has_room(1); });
 }
 
 bool relay_core::has_alternative(request_state const& request, time_point now)
@@ -350,7 +348,7 @@
     return std::any_of(
         alternatives.begin(),
         alternatives.end(),
-        [](candidate const& it) { return it.in_flight <= it.limit; });
+        [](candidate const& it) { return it.has_room(1); });
 }
 
 void relay_core::move_to_other_replica(
--- a/src/relay/replica_chooser.cpp
+++ b/src/relay/replica_chooser.cpp
@@ -33,7 +33,7 @@
     for (std::size_t n = 0; n < candidates.size(); ++n)
     {
         candidate const& it = candidates[n];
-        if (it.in_flight >= it.limit + over_limit)
+        if (!it.has_room(over_limit))
             continue;
         double const base = step + per_sequence * (it.in_flight + 1);
         double candidate_cost =
--- a/src/relay/replica_load_tracker.cpp
+++ b/src/relay/replica_load_tracker.cpp
@@ -108,4 +108,34 @@
     return count;
 }
 
+namespace
+{
+
+std::uint32_t total_of(std::map<backend_server_id, std::uint32_t> const& loads)
+{
+    std::uint32_t out = 0;
+    for (auto const& [id, n] : loads)
+        out += n;
+    return out;
+}
+
+} // namespace
+
+std::uint32_t replica_load_tracker::own_total() const
+{
+    return total_of(local_);
+}
+
+std::map<process_name, std::uint32_t>
+replica_load_tracker::peer_totals(time_point now) const
+{
+    std::map<process_name, std::uint32_t> out;
+    for (auto const& [name, peer] : peers_)
+    {
+        if (now - peer.received_at <= max_report_age)
+            out.emplace(name, total_of(peer.loads));
+    }
+    return out;
+}
+
 } // namespace hornbeamweir
