Close a stream whose event has no end

A replica in trouble may send bytes without end. Within a stream, the splitter kept them all until a blank line came: event_splitter::overflowed() was there, and not asked. The attempt is now closed at 256 KB of a partial event, and the request goes on as after any broken stream.

The test fails on the code before: no close within 512 KB.

--- a/src/relay/relay_responses.cpp
+++ b/src/relay/relay_responses.cpp
@@ -125,6 +125,13 @@
     // and then.
     if (request.is_event_stream)
         bytes = request.events.append(bytes);
+    if (request.events.overflowed())
+    {
+        out.push_back(close_attempt{id});
+        end_attempt(request, attempt_outcome::failed, now);
+        retry_or_fail(it, true, "an event has no end", now, out);
+        return out;
+    }
     if (bytes.empty())
         return out;
     if (request.is_event_stream && request.first_data_at)
--- a/test/relay/stream_stall_test.cpp
+++ b/test/relay/stream_stall_test.cpp
@@ -124,3 +124,24 @@
             streams.fixture.now));
     }
 }
+
+TEST_CASE("an event without end is not buffered without end", "[relay]")
+{
+    relay_fixture fixture;
+    std::optional<open_attempt> const sent =
+        find_action<open_attempt>(fixture.request(1, "/stream/x", 3900));
+    REQUIRE(sent);
+    static_cast<void>(fixture.core.on_head(
+        1, sent->attempt, signed_response(200), fixture.now));
+    constexpr std::size_t chunk = std::size_t{16} * 1024;
+    constexpr std::size_t most = 2 * event_splitter::max_partial_size;
+    std::size_t received = 0;
+    std::optional<close_attempt> closed;
+    while (!closed && received < most)
+    {
+        received += chunk;
+        closed = find_action<close_attempt>(fixture.core.on_data(
+            1, sent->attempt, std::string(chunk, 'x'), fixture.now));
+    }
+    CHECK(closed);
+}
