Bound what is read of a response that has no end

A chunk size, a trailer or informational responses without end were read until the call's timeout, the first two into a buffer without limit; so was a body that an agent collects. The buffer of unparsed bytes is now limited to 192 KB, informational responses to 8, and bodies that are collected whole to 4 MB. Heads were limited to 64 KB already, relayed bodies by the caller's speed.

--- a/include/hornbeamweir/http/connection_pool.hpp
+++ b/include/hornbeamweir/http/connection_pool.hpp
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace hornbeamweir
@@ -37,6 +38,8 @@
     /// another value belong to earlier requests and are skipped. Empty for
     /// none.
     std::string correlation_header;
+    /// Size of a response body above which the call fails; empty for no limit.
+    std::optional<std::size_t> max_body_bytes;
 };
 
 /// \brief Handle of a call in progress.
--- a/src/daemon/rank_client.cpp
+++ b/src/daemon/rank_client.cpp
@@ -18,6 +18,8 @@
 /// timed out.
 constexpr duration order_timeout = milliseconds{60};
 constexpr duration connect_timeout = milliseconds{200};
+/// Size of the longest response, the experts of a rank, with ample room.
+constexpr std::size_t max_response_bytes = std::size_t{4} * 1024 * 1024;
 constexpr unsigned ok = 200;
 
 template <typename T>
@@ -93,6 +95,7 @@
     pooled_call_options options;
     options.connect_timeout = connect_timeout;
     options.timeout = timeout;
+    options.max_body_bytes = max_response_bytes;
     it.call = pool_.call(
         *server, std::move(request), std::move(options), std::move(handlers));
 }
--- a/src/http/backend_call.cpp
+++ b/src/http/backend_call.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::uint32_t max_header_bytes = 64 * 1024;
 constexpr std::size_t read_size = 16 * 1024;
+/// Bytes that are kept until they are parsed.
+constexpr std::size_t max_unparsed_bytes = std::size_t{192} * 1024;
 
 http::request<http::string_body> make_request(http_request_message message)
 {
@@ -201,7 +203,7 @@
     backend_call_handlers handlers_;
     http::request<http::string_body> request_;
     http::response_parser<http::buffer_body> parser_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{max_unparsed_bytes};
     std::string chunk_;
     std::size_t credit_ = 0;
     bool head_done_ = false;
--- a/src/http/pooled_connection.hpp
+++ b/src/http/pooled_connection.hpp
@@ -18,9 +18,13 @@
     {
     }
 
+    /// Bytes that are kept until they are parsed; a server that sends a longer
+    /// line, such as a chunk size without end, is not read further.
+    static constexpr std::size_t max_unparsed_bytes = std::size_t{192} * 1024;
+
     boost::asio::ip::tcp::socket socket;
     boost::asio::ip::tcp::endpoint server;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{max_unparsed_bytes};
     /// Time until which the server is expected to keep the connection open.
     time_point usable_until{};
     bool idle = false;
--- a/src/http/pooled_exchange.cpp
+++ b/src/http/pooled_exchange.cpp
@@ -30,6 +30,8 @@
 /// Maximum number of responses to earlier requests that are skipped before the
 /// call fails.
 constexpr int max_skipped = 3;
+/// Maximum number of informational responses before the final one.
+constexpr int max_informational = 8;
 
 } // namespace
 
@@ -164,7 +166,10 @@
         constexpr unsigned first_final_status = 200;
         if (parser_->get().result_int() < first_final_status)
         {
-            read_head();
+            if (++informational_ > max_informational)
+                fail(result_code::backend_failed, "no final response");
+            else
+                read_head();
             return;
         }
         if (expected_id_)
@@ -235,6 +240,12 @@
             return;
         }
         std::size_t const n = chunk_.size() - parser_->get().body().size;
+        body_bytes_ += n;
+        if (options_.max_body_bytes && body_bytes_ > *options_.max_body_bytes)
+        {
+            fail(result_code::answer_incomplete, "the body is too long");
+            return;
+        }
         if (n > 0 && !skipping_)
         {
             std::function<void(std::string)> const data = handlers_.data;
@@ -312,6 +323,8 @@
     std::string chunk_;
     time_point deadline_{};
     int skipped_ = 0;
+    int informational_ = 0;
+    std::size_t body_bytes_ = 0;
     bool is_head_request_ = false;
     bool sent_ = false;
     bool head_done_ = false;
