--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -293,6 +293,13 @@
         service_name const& name, service_state& state, time_point now) const;
     [[nodiscard]] service_occupancy
     occupancy_of(service_name const& name) const;
+    /// Handles a response that states that the request was not executed.
+    void on_not_executed(
+        request_iterator it,
+        replica_response_head const& head,
+        std::string const& cause,
+        time_point now,
+        actions& out);
     void retry_or_fail(
         request_iterator it,
         bool may_have_run,
--- a/src/daemon/crash_exchange.cpp
+++ b/src/daemon/crash_exchange.cpp
@@ -28,6 +28,7 @@
     std::map<process_name, datagram_link::endpoint> const& entries =
         peers_.peers(role_);
     std::vector<process_name> names;
+    names.reserve(entries.size());
     for (auto const& [name, endpoint] : entries)
         names.push_back(name);
     quarantine_.set_entries(self_, names);
--- a/src/relay/relay_responses.cpp
+++ b/src/relay/relay_responses.cpp
@@ -50,21 +50,7 @@
     std::string const cause = "replica answered " + std::to_string(head.status);
     if (head.not_executed)
     {
-        // Its group is blocked by the named peer: no requests for now.
-        if (!head.faulty_replica.empty() &&
-            head.faulty_replica != request.target.str())
-            loads_.on_rank_status(request.target, {false, 1, now});
-        // The intended replica got no request: the attempt does not count.
-        if (head.status == misdirected)
-        {
-            quarantine_.evidence().on_not_found(run_of(request), now);
-            directory_.on_misdirected(request.target, now);
-            --request.counted_attempts;
-        }
-        out.push_back(close_attempt{id});
-        end_attempt(request, attempt_outcome::abandoned, now);
-        retry_or_fail(it, false, cause + " without executing", now, out);
-        dispatch(service, now, out);
+        on_not_executed(it, head, cause, now, out);
         return out;
     }
     bool const discard = !head.is_signed || (request.first_data_at && !success);
@@ -100,6 +86,32 @@
     return out;
 }
 
+void relay_core::on_not_executed(
+    request_iterator it,
+    replica_response_head const& head,
+    std::string const& cause,
+    time_point now,
+    actions& out)
+{
+    request_state& request = it->second;
+    service_name const service = request.service;
+    // Its group is blocked by the named peer: no requests for now.
+    if (!head.faulty_replica.empty() &&
+        head.faulty_replica != request.target.str())
+        loads_.on_rank_status(request.target, {false, 1, now});
+    // The intended replica got no request: the attempt does not count.
+    if (head.status == misdirected)
+    {
+        quarantine_.evidence().on_not_found(run_of(request), now);
+        directory_.on_misdirected(request.target, now);
+        --request.counted_attempts;
+    }
+    out.push_back(close_attempt{it->first});
+    end_attempt(request, attempt_outcome::abandoned, now);
+    retry_or_fail(it, false, cause + " without executing", now, out);
+    dispatch(service, now, out);
+}
+
 void relay_core::forward(request_iterator it, std::string bytes, actions& out)
 {
     request_state& request = it->second;
