--- a/include/hornbeamweir/relay/crash_evidence.hpp
+++ b/include/hornbeamweir/relay/crash_evidence.hpp
@@ -35,14 +35,11 @@
         replica_run const& run,
         std::vector<prompt_part_id> const& parts,
         time_point now);
-    /// \brief Records that a replica doesn't answer at its address, or that a
-    /// different one does.
-    void on_not_found(replica_run const& run, time_point now);
     /// \returns The replicas whose answers broke and that may still run.
     [[nodiscard]] std::vector<replica_run> unconfirmed() const;
-    /// \brief Records that a replica was named as lost by others, or is not
-    /// registered any more; ignored if none of its answers broke.
-    void on_lost(replica_run const& run, time_point now);
+    /// \brief Records that a replica was found to have ended; ignored if none
+    /// of its answers broke shortly before.
+    void on_ended(replica_run const& run, time_point now);
     /// \brief Records that a prompt is being answered, which takes the
     /// suspicion for the known crashes away from its parts.
     void on_answered(std::vector<prompt_part_id> const& parts, time_point now);
@@ -80,7 +77,6 @@
 private:
     crash_record& find_or_add(replica_run const& run, time_point at);
     void confirm(crash_record& it);
-    void confirm_end(crash_record& it, time_point now);
     void add_suspect(crash_record& it, prompt_part_id const& part);
     void add_to(
         std::set<prompt_part_id> crash_record::*parts,
--- a/src/relay/crash_evidence.cpp
+++ b/src/relay/crash_evidence.cpp
@@ -16,8 +16,6 @@
 
 } // namespace
 
-// Records without suspects only matter once another entry names some, so they
-// are the first to go.
 crash_record& crash_evidence::find_or_add(replica_run const& run, time_point at)
 {
     auto const known = records_.find(run);
@@ -32,10 +30,7 @@
             records_.begin(),
             records_.end(),
             [](auto const& a, auto const& b)
-            {
-                return std::tuple{!a.second.suspects.empty(), a.second.at} <
-                       std::tuple{!b.second.suspects.empty(), b.second.at};
-            }));
+            { return a.second.at < b.second.at; }));
     }
     ++revision_;
     return records_.emplace(run, crash_record{run, at, false, {}, {}, {}})
@@ -48,12 +43,6 @@
     it.confirmed = true;
 }
 
-void crash_evidence::confirm_end(crash_record& it, time_point now)
-{
-    if (now - it.at <= max_confirmation_time)
-        confirm(it);
-}
-
 void crash_evidence::add_to(
     std::set<prompt_part_id> crash_record::*parts,
     crash_record& it,
@@ -75,11 +64,6 @@
     return is_first && !record.confirmed;
 }
 
-void crash_evidence::on_not_found(replica_run const& run, time_point now)
-{
-    confirm_end(find_or_add(run, now), now);
-}
-
 std::vector<replica_run> crash_evidence::unconfirmed() const
 {
     std::vector<replica_run> out;
@@ -91,11 +75,12 @@
     return out;
 }
 
-void crash_evidence::on_lost(replica_run const& run, time_point now)
+void crash_evidence::on_ended(replica_run const& run, time_point now)
 {
     auto const known = records_.find(run);
-    if (known != records_.end())
-        confirm_end(known->second, now);
+    if (known != records_.end() &&
+        now - known->second.at <= max_confirmation_time)
+        confirm(known->second);
 }
 
 void crash_evidence::refute(prompt_part_id const& part)
@@ -178,7 +163,7 @@
         parts.end(),
         [&](prompt_part_id const& part)
         {
-            auto const n = std::count_if(
+            std::ptrdiff_t const n = std::count_if(
                 records_.begin(),
                 records_.end(),
                 [&](auto const& it)
--- a/src/relay/prompt_quarantine.cpp
+++ b/src/relay/prompt_quarantine.cpp
@@ -368,8 +368,7 @@
             continue;
         }
         ++revision_;
-        decisions_.push_back(
-            {it.ended ? change::answered : change::adopted, it, 0});
+        decisions_.push_back({change::adopted, it, 0});
     }
 }
 
--- a/src/relay/relay_exclusions.cpp
+++ b/src/relay/relay_exclusions.cpp
@@ -14,7 +14,7 @@
     replica const* const lost =
         directory_.find(backend_server_id{head.faulty_replica});
     if (lost && head.not_executed)
-        quarantine_.evidence().on_lost(
+        quarantine_.evidence().on_ended(
             {lost->id, lost->registration_revision}, now);
     if (head.is_leaving && target && exclusions_.on_leaving(*target))
     {
--- a/src/relay/relay_quarantine.cpp
+++ b/src/relay/relay_quarantine.cpp
@@ -56,7 +56,7 @@
 
 void relay_core::on_not_accepting(replica const& checked, time_point now)
 {
-    quarantine_.evidence().on_not_found(
+    quarantine_.evidence().on_ended(
         {checked.id, checked.registration_revision}, now);
     event line{"replica_not_accepting"};
     line.with("replica", checked.id)
@@ -110,7 +110,7 @@
     for (replica_run const& it : quarantine_.evidence().unconfirmed())
     {
         if (!directory_.is_current(it.replica, it.registration_revision))
-            quarantine_.evidence().on_lost(it, now);
+            quarantine_.evidence().on_ended(it, now);
     }
     bool has_new = false;
     for (prompt_quarantine::decision const& it : quarantine_.on_tick(now))
--- a/src/relay/relay_responses.cpp
+++ b/src/relay/relay_responses.cpp
@@ -102,7 +102,7 @@
     // The intended replica got no request: the attempt does not count.
     if (head.status == misdirected)
     {
-        quarantine_.evidence().on_not_found(run_of(request), now);
+        quarantine_.evidence().on_ended(run_of(request), now);
         directory_.on_misdirected(request.target, now);
         --request.counted_attempts;
     }
@@ -217,7 +217,7 @@
     if (sent)
         observe_broken_attempt(request, now, out);
     else
-        quarantine_.evidence().on_not_found(run_of(request), now);
+        quarantine_.evidence().on_ended(run_of(request), now);
     end_attempt(request, attempt_outcome::failed, now);
     if (!sent)
         --request.counted_attempts;
--- a/test/relay/crashing_prompt_test.cpp
+++ b/test/relay/crashing_prompt_test.cpp
@@ -127,10 +127,12 @@
         {
             std::size_t const entries = *rc::gen::inRange<std::size_t>(1, 7);
             bool const lock_step = *rc::gen::arbitrary<bool>();
-            auto const seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
-            auto const crashes = *rc::gen::container<std::vector<int>>(
-                *rc::gen::inRange<std::size_t>(1, 12),
-                rc::gen::inRange(0, 300));
+            std::uint64_t const seed =
+                *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+            std::vector<int> const crashes =
+                *rc::gen::container<std::vector<int>>(
+                    *rc::gen::inRange<std::size_t>(1, 12),
+                    rc::gen::inRange(0, 300));
             crash_simulation simulation{{entries, 6, lock_step, seed, 0.1}};
             play(simulation, entries, 11, false);
             random_source random{seed};
@@ -166,7 +168,8 @@
         {
             std::size_t const entries = *rc::gen::inRange<std::size_t>(2, 8);
             bool const lock_step = *rc::gen::arbitrary<bool>();
-            auto const seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+            std::uint64_t const seed =
+                *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
             crash_simulation simulation{{entries, 6, lock_step, seed, 0.3}};
             play(simulation, entries, 11, false);
             simulation.set_crashing_part("bad");
--- a/test/relay/replica_rate_limits_test.cpp
+++ b/test/relay/replica_rate_limits_test.cpp
@@ -167,7 +167,7 @@
         {
             std::size_t const n = *rc::gen::inRange<std::size_t>(1, 20);
             double const limit = *rc::gen::inRange(1, 200) / 10.0;
-            auto const seed = *rc::gen::arbitrary<std::uint64_t>();
+            std::uint64_t const seed = *rc::gen::arbitrary<std::uint64_t>();
             entries fleet{n, limit, 0.3, seed};
             random_source random{seed};
             fleet.run(seconds{3});
