Reject at once if an entry has no part of the rates that replicas have named

Found by reading: if all replicas of a service were limited and this entry was not among those that use them, or they named 0, a request waited for half of its target latency before it was rejected. It is now rejected at once, with its connection closed, so that the caller comes to another entry.

--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -233,7 +233,8 @@
     [[nodiscard]] std::optional<duration>
     backoff_of(service_name const& name, time_point now) const;
     /// \returns Empty if any replica may get requests at once; otherwise how
-    /// long a new request would wait for the rates that replicas have named.
+    /// long a new request would wait for the rates that replicas have named,
+    /// which is the maximum if this entry has no part of them.
     [[nodiscard]] std::optional<duration> rate_wait(
         service_state const& state,
         service_name const& name,
--- a/src/relay/relay_rates.cpp
+++ b/src/relay/relay_rates.cpp
@@ -55,11 +55,13 @@
     if (rate_limits_.empty())
         return std::nullopt;
     std::optional<duration> out;
+    bool is_limited = false;
     for (replica const* it : directory_.usable(name))
     {
         if (exclusions_.is_leaving(*it) ||
             exclusions_.backing_off_until(it->id, now))
             continue;
+        is_limited = true;
         std::optional<duration> const delay =
             rate_limits_.delay_of(it->id, now);
         if (delay == duration::zero())
@@ -67,10 +69,10 @@
         if (delay)
             out = std::min(out.value_or(*delay), *delay);
     }
+    if (!out)
+        return is_limited ? std::optional{duration::max()} : std::nullopt;
     // Those that wait already go first.
-    if (out)
-        return *out * static_cast<std::int64_t>(state.queue.size() + 1);
-    return out;
+    return *out * static_cast<std::int64_t>(state.queue.size() + 1);
 }
 
 bool relay_core::reject_for_rate(
@@ -81,6 +83,18 @@
         rate_wait(service_state_for(service), service, now);
     if (!wait || *wait <= max_wait)
         return false;
+    if (*wait == duration::max())
+    {
+        reject(
+            it,
+            result_code::replicas_rate_limited,
+            execution_state::not_run,
+            "this entry has no part of the rates that all replicas have named",
+            rejection_reason::try_another_entry,
+            now,
+            out);
+        return true;
+    }
     send_error response;
     response.code = result_code::replicas_rate_limited;
     response.detail = "all replicas have named a rate, which is used up";
