Log what a failed attempt's request can be recognized by

attempt_failed named the shared prompt parts, of which a plain request has none, so the logs of the incident could not show whether replicas ended under one request that came again or under different ones. It now has the traits of the request: its prompt parts, and a hash of customer, method, host, target and body. No decision reads the hash yet.

--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -8,6 +8,7 @@
 #include <hornbeamweir/relay/replica_exclusions.hpp>
 #include <hornbeamweir/relay/replica_load_tracker.hpp>
 #include <hornbeamweir/relay/replica_rate_limits.hpp>
+#include <hornbeamweir/relay/request_trait.hpp>
 #include <hornbeamweir/relay/retry_after_planner.hpp>
 #include <hornbeamweir/relay/retry_budget_share.hpp>
 #include <hornbeamweir/relay/service_activity.hpp>
@@ -153,6 +154,8 @@
         route matched_route;
         service_name service;
         customer_id customer;
+        /// Empty until the customer is known.
+        request_traits traits;
         request_phase phase = request_phase::queued;
         time_point arrived{};
         time_point deadline{};
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -124,6 +124,7 @@
                                  request.message.caller_timeout.value_or(
                                      request.matched_route.timeout),
                                  request.matched_route.timeout);
+    request.traits = traits_of(request.message, request.customer);
     if (reject_if_quarantined(it, now, out))
         return out;
     service_state_for(request.service).budget.on_request(now);
--- a/src/relay/relay_quarantine.cpp
+++ b/src/relay/relay_quarantine.cpp
@@ -21,16 +21,16 @@
 void relay_core::log_failed_attempt(
     request_state const& request, bool may_have_run, std::string const& reason)
 {
-    std::string parts;
-    for (prompt_part_id const& it : request.message.shared_parts)
-        parts.append(parts.empty() ? "" : ",").append(it.str());
+    std::string traits;
+    for (request_trait const& it : request.traits)
+        traits.append(traits.empty() ? "" : ",").append(to_string(it));
     event line{"attempt_failed"};
     line.with("id", request.message.id)
         .with("attempt", request.attempt)
         .with("replica", request.target)
         .with("may_have_run", may_have_run ? "yes" : "no")
         .with("answer", answer_names[static_cast<std::size_t>(request.answer)])
-        .with("shared_parts", parts)
+        .with("traits", traits)
         .with("reason", reason);
     log_.info(line);
 }
