--- a/test/support/crash_simulation.cpp
+++ b/test/support/crash_simulation.cpp
@@ -18,10 +18,11 @@
 constexpr milliseconds wait_time{20};
 constexpr milliseconds first_event_time{50};
 constexpr milliseconds answer_time{400};
+constexpr milliseconds plain_answer_time{60};
+constexpr milliseconds repeat_delay{100};
 constexpr milliseconds restart_time{2000};
 constexpr milliseconds stall_time{1500};
 constexpr milliseconds incident_time{500};
-constexpr std::size_t counted_crashes = 5;
 constexpr milliseconds detection_time{3000};
 
 route stream_route()
@@ -40,6 +41,18 @@
     return out;
 }
 
+route plain_route(std::string const& prefix, retry_class retries)
+{
+    route out = stream_route();
+    out.name = prefix;
+    out.prefix = prefix;
+    out.retries = retries;
+    out.streaming = false;
+    out.timeout = milliseconds{3000};
+    out.target_latency = milliseconds{300};
+    return out;
+}
+
 } // namespace
 
 crash_simulation::crash_simulation(options const& chosen)
@@ -50,7 +63,10 @@
     , replicas_(chosen.replicas)
 {
     configuration_.version = 1;
-    configuration_.routes = {stream_route()};
+    configuration_.routes = {
+        stream_route(),
+        plain_route("/plain/", retry_class::idempotent),
+        plain_route("/once/", retry_class::at_most_once)};
     configuration_.services = {{service_name{"lm"}, 100, {}}};
     for (std::size_t n = 0; n < chosen.entries; ++n)
     {
@@ -154,24 +170,74 @@
         static_cast<void>(it->replicas().update(snapshot, now_));
 }
 
-void crash_simulation::request(
-    std::size_t entry, std::vector<std::string> const& parts)
+void crash_simulation::send(relay_request out, sent_request sent)
 {
-    relay_request out;
-    out.id = request_id{std::to_string(++last_exchange_)};
+    exchange_id const id = ++last_exchange_;
+    out.id = request_id{std::to_string(id)};
     out.method = "POST";
-    out.target = "/x";
+    out.target = sent.target;
     out.host = "h";
+    out.body = sent.body;
+    std::size_t const entry = sent.entry;
+    totals_.sound += sent.crashing || sent.is_repeat ? 0 : 1;
+    requests_.emplace(id, std::move(sent));
+    apply(entry, entries_[entry]->on_request(id, std::move(out), now_));
+}
+
+void crash_simulation::request(
+    std::size_t entry,
+    std::vector<std::string> const& parts,
+    std::string const& body)
+{
+    relay_request out;
     out.caller_timeout = milliseconds{8000};
     for (std::string const& it : parts)
         out.shared_parts.emplace_back(it);
-    sent_request sent{parts, false};
-    sent.crashing =
+    bool const has_part =
         std::find(parts.begin(), parts.end(), crashing_part_) != parts.end();
-    totals_.sound += sent.crashing ? 0 : 1;
-    requests_.emplace(last_exchange_, std::move(sent));
-    exchange_id const id = last_exchange_;
-    apply(entry, entries_[entry]->on_request(id, std::move(out), now_));
+    bool const has_body = !body.empty() && body == crashing_body_;
+    send(std::move(out), {"/x", body, entry, has_part || has_body, false});
+}
+
+void crash_simulation::plain_request(
+    std::size_t entry, std::string const& body, std::string const& target)
+{
+    send_plain(
+        {target, body, entry, !body.empty() && body == crashing_body_, false});
+}
+
+void crash_simulation::send_plain(sent_request sent)
+{
+    relay_request out;
+    out.caller_timeout = milliseconds{3000};
+    send(std::move(out), std::move(sent));
+}
+
+void crash_simulation::plan_repeat(
+    sent_request const& failed, send_error const& reason)
+{
+    bool const may_repeat =
+        failed.target == "/plain/" || reason.state == execution_state::not_run;
+    if (failed.target == "/x" || failed.is_repeat || !may_repeat)
+        return;
+    sent_request again = failed;
+    again.is_repeat = true;
+    again.entry = (failed.entry + 1) % entries_.size();
+    duration const delay = std::max<duration>(
+        reason.retry_after.value_or(duration{}), repeat_delay);
+    if (delay < plain_route("/", retry_class::idempotent).timeout / 3)
+        repeats_.push_back({now_ + delay, std::move(again)});
+}
+
+void crash_simulation::send_due_repeats()
+{
+    for (due_repeat& it : std::exchange(repeats_, {}))
+    {
+        if (it.at > now_)
+            repeats_.push_back(std::move(it));
+        else
+            send_plain(std::move(it.sent));
+    }
 }
 
 void crash_simulation::apply(std::size_t entry, actions const& decided)
@@ -187,6 +253,8 @@
         else if (send_end const* end = std::get_if<send_end>(&it))
             totals_.sound_answered +=
                 requests_.at(end->exchange).crashing ? 0 : 1;
+        else if (send_error const* failed = std::get_if<send_error>(&it))
+            plan_repeat(requests_.at(failed->exchange), *failed);
     }
 }
 
@@ -204,8 +272,9 @@
         ++totals_.crashing_sent;
         bool const is_sound =
             !cut_[entry] && now_ - disturbed_at_[entry] > detection_time;
-        bool const late = totals_.crashes >= counted_crashes && is_sound &&
-                          now_ > totals_.fifth_crash + detection_time;
+        bool const late = totals_.crashes >= options_.counted_crashes &&
+                          is_sound &&
+                          now_ > totals_.last_counted_crash + detection_time;
         totals_.crashing_sent_late += late ? 1 : 0;
     }
     replicas_[n].attempts.push_back(created);
@@ -249,8 +318,8 @@
         return;
     crashed.up = false;
     crashed.returns_at = now_ + restart_time;
-    if (++totals_.crashes == counted_crashes)
-        totals_.fifth_crash = now_;
+    if (++totals_.crashes == options_.counted_crashes)
+        totals_.last_counted_crash = now_;
     totals_.last_crash = now_;
     if (now_ - incident_began_ > incident_time)
     {
@@ -266,14 +335,24 @@
 bool crash_simulation::advance(attempt_state& it)
 {
     relay_core& entry = *entries_[it.entry];
+    sent_request const& sent = requests_.at(it.exchange);
     duration const age = now_ - it.began;
+    auto const crashes_at = [&](crash_moment moment)
+    { return sent.crashing && options_.moment == moment; };
     if (it.progress == 0 && age >= wait_time)
     {
+        if (crashes_at(crash_moment::before_head))
+            return true;
+        // Sound requests without a prompt get no head before their answer.
+        bool const has_head =
+            sent.target == "/x" || sent.crashing || age >= first_event_time;
+        if (!has_head)
+            return false;
         it.progress = 1;
         apply(
             it.entry,
             entry.on_head(it.exchange, it.attempt, signed_response(200), now_));
-        return requests_.at(it.exchange).crashing;
+        return crashes_at(crash_moment::after_head);
     }
     if (it.progress == 1 && age >= first_event_time)
     {
@@ -281,6 +360,7 @@
         apply(
             it.entry,
             entry.on_data(it.exchange, it.attempt, "id: 1\ndata: x\n\n", now_));
+        return crashes_at(crash_moment::in_mid_answer);
     }
     return false;
 }
@@ -296,7 +376,11 @@
     std::vector<attempt_state> ended;
     for (attempt_state const& it : open)
     {
-        bool const ends = !crashes && now_ - it.began >= answer_time;
+        milliseconds const time = requests_.at(it.exchange).target == "/x"
+                                      ? answer_time
+                                      : plain_answer_time;
+        bool const ends =
+            !crashes && it.progress == 2 && now_ - it.began >= time;
         (ends ? ended : replicas_[replica].attempts).push_back(it);
     }
     for (attempt_state const& it : ended)
@@ -350,6 +434,7 @@
         apply(n, entries_[n]->on_tick(now_));
     }
     exchange_reports();
+    send_due_repeats();
 }
 
 } // namespace test
--- a/test/support/crash_simulation.hpp
+++ b/test/support/crash_simulation.hpp
@@ -12,13 +12,21 @@
 namespace test
 {
 
-/// \brief Entries in virtual time whose replicas may crash as soon as they
-/// begin to answer a prompt with a certain part.
+/// \brief Entries in virtual time whose replicas may crash as they answer a
+/// prompt with a certain part, or a request with a certain body.
 /// \remarks A crashed replica refuses connections, and returns under a new id.
 /// In a lock-step group all other replicas stall, and then end their attempts.
 class crash_simulation
 {
 public:
+    /// \brief How far a replica has answered when it crashes.
+    enum class crash_moment
+    {
+        before_head,
+        after_head,
+        in_mid_answer
+    };
+
     struct options
     {
         std::size_t entries = 1;
@@ -27,6 +35,9 @@
         std::uint64_t seed = 1;
         /// Part of the messages between entries that is lost.
         double message_loss = 0;
+        crash_moment moment = crash_moment::after_head;
+        /// Crashes after which few more are allowed.
+        std::size_t counted_crashes = 5;
     };
 
     struct counters
@@ -35,10 +46,11 @@
         /// Crashes over 500 ms after the first of the incident before.
         std::size_t incidents = 0;
         hornbeamweir::time_point last_crash{};
-        hornbeamweir::time_point fifth_crash{};
-        /// Requests with the crashing part that reached a replica.
+        /// Time of the last one that is allowed.
+        hornbeamweir::time_point last_counted_crash{};
+        /// Requests that crash replicas, and reached one.
         std::size_t crashing_sent = 0;
-        /// Those later than 3 s after the fifth crash, by entries that were
+        /// Those later than 3 s after last_counted_crash, by entries that were
         /// neither restarted nor cut off in the last 3 s.
         std::size_t crashing_sent_late = 0;
         /// Sound requests, and those that were answered in full.
@@ -50,8 +62,20 @@
 
     /// Part that crashes replicas; empty for none.
     void set_crashing_part(std::string part) { crashing_part_ = part; }
+    /// Body that crashes replicas; empty for none.
+    void set_crashing_body(std::string body) { crashing_body_ = body; }
     /// \brief Sends a request for a stream to an entry.
-    void request(std::size_t entry, std::vector<std::string> const& parts);
+    void request(
+        std::size_t entry,
+        std::vector<std::string> const& parts,
+        std::string const& body = {});
+    /// \brief Sends a request without a prompt to an entry. Its caller repeats
+    /// it once, at the next entry, if it may and the request has failed.
+    /// \param target "/plain/" for idempotent requests, "/once/" for others.
+    void plain_request(
+        std::size_t entry,
+        std::string const& body,
+        std::string const& target = "/plain/");
     /// \brief Crashes a replica whatever it works on.
     void crash(std::size_t replica);
     /// \brief Restarts an entry, which forgets everything.
@@ -74,7 +98,7 @@
         hornbeamweir::exchange_id exchange = 0;
         std::uint32_t attempt = 0;
         hornbeamweir::time_point began{};
-        /// 0 waiting, 1 head sent, 2 first event sent.
+        /// 0 waiting, 1 head sent, 2 first data sent.
         int progress = 0;
     };
 
@@ -88,10 +112,26 @@
 
     struct sent_request
     {
-        std::vector<std::string> parts;
+        std::string target;
+        std::string body;
+        std::size_t entry = 0;
         bool crashing = false;
+        bool is_repeat = false;
+    };
+
+    struct due_repeat
+    {
+        hornbeamweir::time_point at{};
+        sent_request sent;
     };
 
+    void send(hornbeamweir::relay_request out, sent_request sent);
+    void send_plain(sent_request sent);
+    void send_due_repeats();
+    /// Decides whether the caller of a failed request sends it once more.
+    void plan_repeat(
+        sent_request const& failed,
+        hornbeamweir::relay::send_error const& reason);
     [[nodiscard]] std::string id_of(std::size_t replica) const;
     void register_replicas();
     void apply(std::size_t entry, hornbeamweir::relay::actions const& decided);
@@ -109,6 +149,8 @@
 
     options options_;
     std::string crashing_part_;
+    std::string crashing_body_;
+    std::vector<due_repeat> repeats_;
     hornbeamweir::null_event_log log_;
     hornbeamweir::metrics_registry metrics_;
     std::vector<std::unique_ptr<hornbeamweir::relay::relay_core>> entries_;
