Rename the quarantine of prompt parts to one of requests

Pure renames, ahead of recognizing requests by more than their prompts: prompt_quarantine becomes request_quarantine, part_blame trait_blame, answered_parts answered_traits. The wire format is the same.

--- a/bench/crash_report_bench.cpp
+++ b/bench/crash_report_bench.cpp
@@ -1,6 +1,6 @@
 #include <hornbeamweir/peers/crash_messages.hpp>
 #include <hornbeamweir/relay/crash_report_schedule.hpp>
-#include <hornbeamweir/relay/prompt_quarantine.hpp>
+#include <hornbeamweir/relay/request_quarantine.hpp>
 
 #include <cstdio>
 #include <fstream>
@@ -73,7 +73,7 @@
 
     void restart(std::size_t n)
     {
-        quarantines_[n] = prompt_quarantine{};
+        quarantines_[n] = request_quarantine{};
         schedules_[n] = crash_report_schedule{random_source{random_.next()}};
     }
 
@@ -102,7 +102,7 @@
             it.answered_before = it.suspects;
             out.crashes.push_back(std::move(it));
         }
-        part_blame blame;
+        trait_blame blame;
         blame.part = prompt_part_id{"5c1e07a2"};
         blame.blocked_until = now_ + seconds{30};
         out.blames.push_back(std::move(blame));
@@ -122,7 +122,7 @@
     random_source random_;
     time_point now_{seconds{100}};
     std::vector<process_name> names_;
-    std::vector<prompt_quarantine> quarantines_;
+    std::vector<request_quarantine> quarantines_;
     std::vector<crash_report_schedule> schedules_;
     double datagrams_ = 0;
     double bytes_ = 0;
--- a/include/hornbeamweir/relay/answered_parts.hpp
+++ b/include/hornbeamweir/relay/answered_traits.hpp
@@ -11,7 +11,7 @@
 /// \brief Counts the answers of replicas to prompts with each part.
 /// \remarks Bounded: keeps two periods, and begins a new one early if there are
 /// many parts.
-class answered_parts
+class answered_traits
 {
 public:
     static constexpr duration period = std::chrono::seconds{30};
--- a/include/hornbeamweir/relay/crash_evidence.hpp
+++ b/include/hornbeamweir/relay/crash_evidence.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <hornbeamweir/relay/answered_parts.hpp>
+#include <hornbeamweir/relay/answered_traits.hpp>
 #include <hornbeamweir/relay/crash_report.hpp>
 
 #include <map>
@@ -84,7 +84,7 @@
         prompt_part_id const& part);
 
     std::map<replica_run, crash_record> records_;
-    answered_parts answered_;
+    answered_traits answered_;
     std::uint64_t revision_ = 0;
 };
 
--- a/include/hornbeamweir/relay/crash_report.hpp
+++ b/include/hornbeamweir/relay/crash_report.hpp
@@ -38,7 +38,7 @@
 };
 
 /// \brief A prompt part whose requests are not sent to replicas.
-struct part_blame
+struct trait_blame
 {
     prompt_part_id part;
     /// Number of the blame, counted for each part.
@@ -64,7 +64,7 @@
 struct crash_report
 {
     std::vector<crash_record> crashes;
-    std::vector<part_blame> blames;
+    std::vector<trait_blame> blames;
 };
 
 } // namespace hornbeamweir::relay
--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -2,12 +2,12 @@
 
 #include <hornbeamweir/admission/fair_queue.hpp>
 #include <hornbeamweir/relay/event_splitter.hpp>
-#include <hornbeamweir/relay/prompt_quarantine.hpp>
 #include <hornbeamweir/relay/relay_action.hpp>
 #include <hornbeamweir/relay/replica_chooser.hpp>
 #include <hornbeamweir/relay/replica_exclusions.hpp>
 #include <hornbeamweir/relay/replica_load_tracker.hpp>
 #include <hornbeamweir/relay/replica_rate_limits.hpp>
+#include <hornbeamweir/relay/request_quarantine.hpp>
 #include <hornbeamweir/relay/request_trait.hpp>
 #include <hornbeamweir/relay/retry_after_planner.hpp>
 #include <hornbeamweir/relay/retry_budget_share.hpp>
@@ -68,7 +68,7 @@
     {
         return rate_limits_;
     }
-    [[nodiscard]] prompt_quarantine& quarantine() noexcept
+    [[nodiscard]] request_quarantine& quarantine() noexcept
     {
         return quarantine_;
     }
@@ -373,7 +373,7 @@
     replica_load_tracker loads_;
     failure_tracker failures_;
     replica_exclusions exclusions_;
-    prompt_quarantine quarantine_;
+    request_quarantine quarantine_;
     replica_rate_limits rate_limits_;
     time_point rates_shared_at_{};
     replica_chooser chooser_;
--- a/include/hornbeamweir/relay/prompt_quarantine.hpp
+++ b/include/hornbeamweir/relay/request_quarantine.hpp
@@ -17,7 +17,7 @@
 /// answered, if another part explains more crashes, or after some minutes. Once
 /// a part has been blocked for a time, one entry after the other may send a
 /// single request with it.
-class prompt_quarantine
+class request_quarantine
 {
 public:
     static constexpr std::size_t max_blames = 32;
@@ -42,7 +42,7 @@
     struct decision
     {
         change kind = change::blamed;
-        part_blame blame;
+        trait_blame blame;
         /// Incidents that spoke for the blame; 0 if it ends.
         std::size_t incidents = 0;
     };
@@ -113,19 +113,19 @@
     blame(prompt_part_id const& part, std::size_t incidents, time_point now);
     /// Ends blames for crashes that a part with more of them explains.
     void drop_explained(prompt_part_id const& culprit, suspicion const&);
-    void end(part_blame& it, change reason);
+    void end(trait_blame& it, change reason);
     /// Ends blames for crashes after which an answer was reported late.
     void end_refuted();
     void make_room(std::size_t wanted);
-    [[nodiscard]] part_blame const* find_active(prompt_part_id const&) const;
-    [[nodiscard]] bool may_probe(part_blame const& it, time_point now) const;
+    [[nodiscard]] trait_blame const* find_active(prompt_part_id const&) const;
+    [[nodiscard]] bool may_probe(trait_blame const& it, time_point now) const;
 
     std::optional<time_point> started_at_;
     process_name self_;
     std::vector<process_name> others_;
     crash_evidence evidence_;
     /// Also those that have ended, so that no late report revives them.
-    std::map<prompt_part_id, part_blame> blames_;
+    std::map<prompt_part_id, trait_blame> blames_;
     /// Crashes for which this entry has blamed a part.
     std::map<prompt_part_id, std::vector<replica_run>> grounds_;
     std::vector<decision> decisions_;
@@ -138,9 +138,9 @@
 {
 
 template <>
-struct enum_table<relay::prompt_quarantine::change>
+struct enum_table<relay::request_quarantine::change>
 {
-    using change = relay::prompt_quarantine::change;
+    using change = relay::request_quarantine::change;
     static constexpr std::array<enum_name<change>, 6> rows{
         {{change::blamed, "blamed"},
          {change::adopted, "adopted"},
--- a/src/daemon/crash_exchange.cpp
+++ b/src/daemon/crash_exchange.cpp
@@ -8,7 +8,7 @@
 crash_exchange::crash_exchange(
     process_name self,
     std::string role,
-    relay::prompt_quarantine& quarantine,
+    relay::request_quarantine& quarantine,
     peer_registry const& peers,
     datagram_link& link,
     random_source random)
--- a/src/daemon/crash_exchange.hpp
+++ b/src/daemon/crash_exchange.hpp
@@ -3,7 +3,7 @@
 #include <hornbeamweir/peers/datagram_link.hpp>
 #include <hornbeamweir/peers/peer_registry.hpp>
 #include <hornbeamweir/relay/crash_report_schedule.hpp>
-#include <hornbeamweir/relay/prompt_quarantine.hpp>
+#include <hornbeamweir/relay/request_quarantine.hpp>
 
 namespace hornbeamweir
 {
@@ -15,7 +15,7 @@
     crash_exchange(
         process_name self,
         std::string role,
-        relay::prompt_quarantine& quarantine,
+        relay::request_quarantine& quarantine,
         peer_registry const& peers,
         datagram_link& link,
         random_source random);
@@ -25,7 +25,7 @@
 private:
     process_name self_;
     std::string role_;
-    relay::prompt_quarantine& quarantine_;
+    relay::request_quarantine& quarantine_;
     peer_registry const& peers_;
     datagram_link& link_;
     relay::crash_report_schedule schedule_;
--- a/src/peers/crash_messages.cpp
+++ b/src/peers/crash_messages.cpp
@@ -1,5 +1,5 @@
 #include <hornbeamweir/peers/crash_messages.hpp>
-#include <hornbeamweir/relay/prompt_quarantine.hpp>
+#include <hornbeamweir/relay/request_quarantine.hpp>
 
 #include <algorithm>
 
@@ -10,7 +10,7 @@
 {
 
 using relay::crash_evidence;
-using relay::prompt_quarantine;
+using relay::request_quarantine;
 
 template <typename Names>
 std::set<prompt_part_id> decode_parts(Names const& names)
@@ -45,9 +45,9 @@
         for (prompt_part_id const& part : it.answered_before)
             crash.add_answered_before(part.str());
     }
-    for (relay::part_blame const& it : report.blames)
+    for (relay::trait_blame const& it : report.blames)
     {
-        wire::part_blame& blame = *out.add_blames();
+        wire::trait_blame& blame = *out.add_blames();
         blame.set_part(it.part.str());
         blame.set_generation(it.generation);
         blame.set_ended(it.ended);
@@ -79,12 +79,13 @@
              decode_parts(it.answered_before())});
     }
     std::int64_t const max_block =
-        duration{prompt_quarantine::max_block}.count();
-    std::int64_t const max_idle = duration{prompt_quarantine::max_idle}.count();
-    for (wire::part_blame const& it : message.blames())
+        duration{request_quarantine::max_block}.count();
+    std::int64_t const max_idle =
+        duration{request_quarantine::max_idle}.count();
+    for (wire::trait_blame const& it : message.blames())
     {
         if (it.part().empty() ||
-            out.blames.size() >= prompt_quarantine::max_blames)
+            out.blames.size() >= request_quarantine::max_blames)
             continue;
         duration const left{
             std::clamp(it.blocked_for_us(), -2 * max_idle, max_block)};
--- a/src/relay/relay_quarantine.cpp
+++ b/src/relay/relay_quarantine.cpp
@@ -76,7 +76,7 @@
     request_iterator it, time_point now, actions& out)
 {
     request_state& request = it->second;
-    prompt_quarantine::verdict const found =
+    request_quarantine::verdict const found =
         quarantine_.admit(request.message.shared_parts, now);
     request.is_probe = found.is_probe;
     if (found.is_probe)
@@ -113,7 +113,7 @@
             quarantine_.evidence().on_ended(it, now);
     }
     bool has_new = false;
-    for (prompt_quarantine::decision const& it : quarantine_.on_tick(now))
+    for (request_quarantine::decision const& it : quarantine_.on_tick(now))
     {
         has_new = has_new || !it.blame.ended;
         event line{"prompt_part_judged"};
--- a/src/relay/prompt_quarantine.cpp
+++ b/src/relay/request_quarantine.cpp
@@ -1,5 +1,5 @@
 #include <hornbeamweir/core/content_hash.hpp>
-#include <hornbeamweir/relay/prompt_quarantine.hpp>
+#include <hornbeamweir/relay/request_quarantine.hpp>
 
 #include <algorithm>
 
@@ -29,30 +29,30 @@
 
 duration block_time(std::uint32_t level)
 {
-    duration out = prompt_quarantine::first_block;
-    for (std::uint32_t n = 0; n < level && out < prompt_quarantine::max_block;
+    duration out = request_quarantine::first_block;
+    for (std::uint32_t n = 0; n < level && out < request_quarantine::max_block;
          ++n)
         out *= 3;
-    return std::min(out, prompt_quarantine::max_block);
+    return std::min(out, request_quarantine::max_block);
 }
 
 } // namespace
 
-void prompt_quarantine::set_entries(
+void request_quarantine::set_entries(
     process_name self, std::vector<process_name> others)
 {
     self_ = std::move(self);
     others_ = std::move(others);
 }
 
-part_blame const*
-prompt_quarantine::find_active(prompt_part_id const& part) const
+trait_blame const*
+request_quarantine::find_active(prompt_part_id const& part) const
 {
     auto const it = blames_.find(part);
     return it == blames_.end() || it->second.ended ? nullptr : &it->second;
 }
 
-bool prompt_quarantine::is_blocked(
+bool request_quarantine::is_blocked(
     std::vector<prompt_part_id> const& parts) const
 {
     return std::any_of(
@@ -61,13 +61,13 @@
         [&](prompt_part_id const& it) { return find_active(it) != nullptr; });
 }
 
-prompt_quarantine::verdict prompt_quarantine::admit(
+request_quarantine::verdict request_quarantine::admit(
     std::vector<prompt_part_id> const& parts, time_point now)
 {
     verdict out;
     for (prompt_part_id const& it : parts)
     {
-        part_blame const* const known = find_active(it);
+        trait_blame const* const known = find_active(it);
         if (!known)
             continue;
         if (!may_probe(*known, now))
@@ -82,7 +82,7 @@
     {
         if (!find_active(it))
             continue;
-        part_blame& tried = blames_.at(it);
+        trait_blame& tried = blames_.at(it);
         ++tried.probes;
         tried.blocked_until = now + probe_time;
     }
@@ -92,7 +92,7 @@
 
 // Each turn is another entry's, so that all come to try the part, although few
 // of its requests may arrive at any one.
-bool prompt_quarantine::may_probe(part_blame const& it, time_point now) const
+bool request_quarantine::may_probe(trait_blame const& it, time_point now) const
 {
     if (now < it.blocked_until)
         return false;
@@ -109,7 +109,7 @@
         [&](process_name const& name) { return weight(name) < own; });
 }
 
-void prompt_quarantine::on_answered(
+void request_quarantine::on_answered(
     std::vector<prompt_part_id> const& parts, time_point now)
 {
     evidence_.on_answered(parts, now);
@@ -122,14 +122,14 @@
     }
 }
 
-void prompt_quarantine::on_probe_crashed(
+void request_quarantine::on_probe_crashed(
     std::vector<prompt_part_id> const& parts, time_point now)
 {
     for (prompt_part_id const& it : parts)
     {
         if (!find_active(it))
             continue;
-        part_blame& tried = blames_.at(it);
+        trait_blame& tried = blames_.at(it);
         ++tried.level;
         tried.blocked_until = now + block_time(tried.level);
         ++revision_;
@@ -137,15 +137,15 @@
     }
 }
 
-void prompt_quarantine::end(part_blame& it, change reason)
+void request_quarantine::end(trait_blame& it, change reason)
 {
     it.ended = true;
     ++revision_;
     decisions_.push_back({reason, it, 0});
 }
 
-std::vector<prompt_quarantine::decision>
-prompt_quarantine::on_tick(time_point now)
+std::vector<request_quarantine::decision>
+request_quarantine::on_tick(time_point now)
 {
     if (!started_at_)
         started_at_ = now;
@@ -165,7 +165,7 @@
     return std::exchange(decisions_, {});
 }
 
-void prompt_quarantine::end_refuted()
+void request_quarantine::end_refuted()
 {
     for (auto const& [part, runs] : grounds_)
     {
@@ -184,7 +184,7 @@
 // Shared parts of many prompts are suspected of every crash while no replica
 // answers anything. Those that were answered until the crashes began are
 // therefore judged only if no other part explains the crashes.
-void prompt_quarantine::find_culprit(
+void request_quarantine::find_culprit(
     std::vector<crash_evidence::incident> const& incidents, time_point now)
 {
     // An entry that has just started has seen no answers.
@@ -207,7 +207,7 @@
         blame_best_answered(all, now);
 }
 
-bool prompt_quarantine::blame_best(
+bool request_quarantine::blame_best(
     suspicion const& candidates, suspicion const& all, time_point now)
 {
     std::size_t best = 0;
@@ -232,7 +232,7 @@
     return true;
 }
 
-void prompt_quarantine::blame_best_answered(
+void request_quarantine::blame_best_answered(
     suspicion const& candidates, time_point now)
 {
     bool const is_explained = std::any_of(
@@ -261,7 +261,7 @@
 
 // Crashes that a blamed part explains speak against another one only if that
 // one explains all of them, and more.
-std::size_t prompt_quarantine::unexplained(
+std::size_t request_quarantine::unexplained(
     std::set<std::size_t> const& against, suspicion const& all) const
 {
     std::set<std::size_t> left = against;
@@ -284,7 +284,7 @@
     return left.size();
 }
 
-void prompt_quarantine::make_room(std::size_t wanted)
+void request_quarantine::make_room(std::size_t wanted)
 {
     while (blames_.size() + wanted > max_blames)
     {
@@ -299,7 +299,7 @@
     }
 }
 
-void prompt_quarantine::blame(
+void request_quarantine::blame(
     prompt_part_id const& part, std::size_t incidents, time_point now)
 {
     auto const ended = blames_.find(part);
@@ -307,14 +307,14 @@
         ended == blames_.end() ? 1 : ended->second.generation + 1;
     if (ended == blames_.end())
         make_room(1);
-    part_blame& created = blames_[part];
+    trait_blame& created = blames_[part];
     created = {part, generation, false, 0, 0, now + first_block};
     grounds_[part] = evidence_.held_against(part);
     ++revision_;
     decisions_.push_back({change::blamed, created, incidents});
 }
 
-void prompt_quarantine::drop_explained(
+void request_quarantine::drop_explained(
     prompt_part_id const& culprit, suspicion const& suspects)
 {
     std::set<std::size_t> const& more = suspects.at(culprit);
@@ -335,7 +335,7 @@
     }
 }
 
-crash_report prompt_quarantine::report() const
+crash_report request_quarantine::report() const
 {
     crash_report out;
     out.crashes = evidence_.records();
@@ -344,10 +344,10 @@
     return out;
 }
 
-void prompt_quarantine::merge(crash_report const& other, time_point now)
+void request_quarantine::merge(crash_report const& other, time_point now)
 {
     evidence_.merge(other.crashes, now);
-    for (part_blame const& it : other.blames)
+    for (trait_blame const& it : other.blames)
     {
         if (now - it.blocked_until > max_idle)
             continue;
--- a/test/support/crash_simulation.cpp
+++ b/test/support/crash_simulation.cpp
@@ -125,7 +125,7 @@
 {
     for (std::size_t n = 0; n < entries_.size(); ++n)
     {
-        prompt_quarantine const& from = entries_[n]->quarantine();
+        request_quarantine const& from = entries_[n]->quarantine();
         std::vector<process_name> others;
         for (std::size_t to = 0; to < entries_.size(); ++to)
         {
