Quarantine requests that crash replicas, with or without a prompt

Callers of order-desk got 502 and 503 for minutes: one request (path, caller, body) ended each replica that ran it, came again, and was sent again.

Cause: crashes were connected with requests by the parts of their prompts only, and only between the head of an answer and its first data. A plain request has no parts, and ends its replica before any head, so nothing was ever suspected. The class of fault is a query of death that the load balancer spreads by its retries. Ruled out: that the entries' own retries alone make up the number (a request that is sent once, at-most-once, fails the test as well), and that replicas end of the load after an outage (in the simulation they bear any load, and the test fails).

What a request is known by is now a strategy (trait_policy): shared prompt parts as before, or the hash of customer, method, host, target and body. Evidence, blocks, probes and reports work on both. A request is blamed after three ends one after the other (four if it was answered before, or the entry is young) without an answer; requests of which two replicas may have ended are not retried before.

All other suites pass.

--- a/bench/crash_report_bench.cpp
+++ b/bench/crash_report_bench.cpp
@@ -79,7 +79,7 @@
 
     [[nodiscard]] bool knows(std::size_t n) const
     {
-        return quarantines_[n].is_blocked({prompt_part_id{"5c1e07a2"}});
+        return quarantines_[n].is_blocked({blamed_});
     }
     [[nodiscard]] std::size_t size() const { return names_.size(); }
     [[nodiscard]] double datagrams() const { return datagrams_; }
@@ -98,12 +98,15 @@
             it.confirmed = true;
             for (char const* part :
                  {"5c1e07a2", "91bd3f06", "e4402b7d", "0a1b2c3d", "11223344"})
-                it.suspects.emplace(part);
-            it.answered_before = it.suspects;
+            {
+                request_trait const trait{trait_kind::prompt_part, part};
+                it.suspects.emplace(trait, seconds{1});
+                it.answered_before.insert(trait);
+            }
             out.crashes.push_back(std::move(it));
         }
         trait_blame blame;
-        blame.part = prompt_part_id{"5c1e07a2"};
+        blame.trait = blamed_;
         blame.blocked_until = now_ + seconds{30};
         out.blames.push_back(std::move(blame));
         return out;
@@ -119,6 +122,7 @@
         quarantines_[n].merge(decode_crash_report(message, now_), now_);
     }
 
+    request_trait const blamed_{trait_kind::prompt_part, "5c1e07a2"};
     random_source random_;
     time_point now_{seconds{100}};
     std::vector<process_name> names_;
--- a/include/hornbeamweir/core/result_code.hpp
+++ b/include/hornbeamweir/core/result_code.hpp
@@ -33,6 +33,7 @@
     not_ready = 206,
     prompt_quarantined = 207,
     replicas_rate_limited = 208,
+    request_quarantined = 209,
     draining = 300,
     wrong_incarnation = 301,
     start_expired = 302,
@@ -60,7 +61,7 @@
 template <>
 struct enum_table<result_code>
 {
-    static constexpr std::array<enum_name<result_code>, 42> rows{{
+    static constexpr std::array<enum_name<result_code>, 43> rows{{
         {result_code::ok, "ok"},
         {result_code::malformed_request, "malformed_request"},
         {result_code::unauthorized, "unauthorized"},
@@ -81,6 +82,7 @@
         {result_code::not_ready, "not_ready"},
         {result_code::prompt_quarantined, "prompt_quarantined"},
         {result_code::replicas_rate_limited, "replicas_rate_limited"},
+        {result_code::request_quarantined, "request_quarantined"},
         {result_code::draining, "draining"},
         {result_code::wrong_incarnation, "wrong_incarnation"},
         {result_code::start_expired, "start_expired"},
--- a/include/hornbeamweir/relay/crash_report.hpp
+++ b/include/hornbeamweir/relay/crash_report.hpp
@@ -2,8 +2,9 @@
 
 #include <hornbeamweir/core/identifier.hpp>
 #include <hornbeamweir/core/time.hpp>
-#include <hornbeamweir/relay/relay_request.hpp>
+#include <hornbeamweir/relay/request_trait.hpp>
 
+#include <map>
 #include <set>
 #include <tuple>
 #include <vector>
@@ -21,34 +22,35 @@
     operator<=>(replica_run const&, replica_run const&) = default;
 };
 
-/// \brief The end of a replica, and the prompt parts that may have caused it.
+/// \brief The end of a replica, and the traits of requests that may have caused
+/// it.
 struct crash_record
 {
     replica_run run;
     time_point at{};
     /// Whether the replica itself has ended, and not only its connections.
     bool confirmed = false;
-    /// Shared parts of the prompts that it had begun to answer without having
-    /// sent any data.
-    std::set<prompt_part_id> suspects;
-    /// Suspects with which a prompt has been answered since.
-    std::set<prompt_part_id> refuted;
-    /// Suspects with which prompts had been answered shortly before.
-    std::set<prompt_part_id> answered_before;
+    /// Traits of the requests that it may have ended of, and the time for which
+    /// the last request with each had been in progress.
+    std::map<request_trait, duration> suspects;
+    /// Suspects with which a request has been answered since.
+    std::set<request_trait> refuted;
+    /// Suspects with which requests had been answered shortly before.
+    std::set<request_trait> answered_before;
 };
 
-/// \brief A prompt part whose requests are not sent to replicas.
+/// \brief A trait whose requests are not sent to replicas.
 struct trait_blame
 {
-    prompt_part_id part;
-    /// Number of the blame, counted for each part.
+    request_trait trait;
+    /// Number of the blame, counted for each trait.
     std::uint32_t generation = 1;
     bool ended = false;
     /// Number of single requests that have crashed a replica since.
     std::uint32_t level = 0;
-    /// Number of single requests that were sent to try the part.
+    /// Number of single requests that were sent to try the trait.
     std::uint32_t probes = 0;
-    /// Time from which the part may be tried.
+    /// Time from which the trait may be tried.
     time_point blocked_until{};
 
     /// \brief Orders the states of a blame; of two entries' states the later
--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -8,12 +8,12 @@
 #include <hornbeamweir/relay/replica_load_tracker.hpp>
 #include <hornbeamweir/relay/replica_rate_limits.hpp>
 #include <hornbeamweir/relay/request_quarantine.hpp>
-#include <hornbeamweir/relay/request_trait.hpp>
 #include <hornbeamweir/relay/retry_after_planner.hpp>
 #include <hornbeamweir/relay/retry_budget_share.hpp>
 #include <hornbeamweir/relay/service_activity.hpp>
 #include <hornbeamweir/relay/stream_limit.hpp>
 #include <hornbeamweir/relay/stream_share.hpp>
+#include <hornbeamweir/relay/trait_policy.hpp>
 #include <hornbeamweir/replicas/replica_directory.hpp>
 #include <hornbeamweir/routes/versioned_route_table.hpp>
 #include <hornbeamweir/routing/failure_tracker.hpp>
@@ -140,14 +140,6 @@
         responding
     };
 
-    /// How far the replica has answered the current attempt.
-    enum class answer_progress
-    {
-        none,
-        head,
-        data
-    };
-
     struct request_state
     {
         relay_request message;
@@ -168,7 +160,7 @@
         std::int64_t target_registration = 0;
         answer_progress answer = answer_progress::none;
         time_point answer_began{};
-        /// Whether the request tries a prompt part that is blocked.
+        /// Whether the request tries a trait that is blocked.
         bool is_probe = false;
         std::set<backend_server_id> excluded;
         time_point attempt_started{};
@@ -264,20 +256,21 @@
     /// Records that a connection to a replica broke.
     void observe_broken_attempt(
         request_state& request, time_point now, actions& out);
-    /// Records that a replica sends data of an answer.
-    void observe_answer(request_state& request, time_point now);
+    /// Records how far a replica has answered.
+    void observe_answer(
+        request_state& request, answer_progress progress, time_point now);
     [[nodiscard]] bool is_quarantined(request_state const& request) const
     {
-        return !request.is_probe &&
-               quarantine_.is_blocked(request.message.shared_parts);
+        return !request.is_probe && quarantine_.is_blocked(request.traits);
     }
     /// Whether a retry may well end another replica, as the last attempt did.
     [[nodiscard]] bool is_suspect(request_state const& request) const
     {
-        return request.answer == answer_progress::head &&
-               quarantine_.evidence().is_repeated(request.message.shared_parts);
+        return request.answer < answer_progress::data &&
+               quarantine_.evidence().is_repeated(suspects_of(
+                   request.traits, request.answer, duration::zero()));
     }
-    /// \returns Whether the request was rejected for its prompt.
+    /// \returns Whether the request was rejected for one of its traits.
     [[nodiscard]] bool
     reject_if_quarantined(request_iterator it, time_point now, actions& out);
     /// Judges crashes, and ends the requests that must not be sent any more.
--- a/include/hornbeamweir/relay/request_quarantine.hpp
+++ b/include/hornbeamweir/relay/request_quarantine.hpp
@@ -2,26 +2,28 @@
 
 #include <hornbeamweir/core/enum_table.hpp>
 #include <hornbeamweir/relay/crash_evidence.hpp>
+#include <hornbeamweir/relay/trait_policy.hpp>
 
 #include <optional>
 
 namespace hornbeamweir::relay
 {
 
-/// \brief Finds prompt parts that crash replicas, and keeps their requests away
-/// from replicas.
-/// \remarks Sans-I/O. A part is blamed if replicas ended in several incidents
-/// in a row as they began to answer prompts with it, and none has answered such
-/// a prompt since. All entries judge alike from the same evidence, and adopt
-/// each other's blames. A blame ends as soon as a prompt with the part is
-/// answered, if another part explains more crashes, or after some minutes. Once
-/// a part has been blocked for a time, one entry after the other may send a
-/// single request with it.
+/// \brief Finds traits of requests that crash replicas, and keeps such requests
+/// away from replicas.
+/// \remarks Sans-I/O. A prompt part is blamed if replicas ended in several
+/// incidents in a row as they began to answer prompts with it; a request, if
+/// several replicas ended one after the other as they ran it. In both cases no
+/// replica has answered a request with the trait since. All entries judge alike
+/// from the same evidence, and adopt each other's blames. A blame ends as soon
+/// as a request with the trait is answered, if another trait explains more
+/// crashes, or after some minutes. Once a trait has been blocked for a time,
+/// one entry after the other may send a single request with it.
 class request_quarantine
 {
 public:
     static constexpr std::size_t max_blames = 32;
-    /// First time for which a part is blocked; tripled by each probe that
+    /// First time for which a trait is blocked; tripled by each probe that
     /// crashes a replica.
     static constexpr duration first_block = std::chrono::seconds{30};
     static constexpr duration max_block = std::chrono::seconds{270};
@@ -43,23 +45,24 @@
     {
         change kind = change::blamed;
         trait_blame blame;
-        /// Incidents that spoke for the blame; 0 if it ends.
+        /// Incidents, or ends of replicas, that spoke for the blame; 0 if it
+        /// ends.
         std::size_t incidents = 0;
     };
 
     /// \brief Whether a new request may be sent to a replica.
     struct verdict
     {
-        /// The part for which it may not; empty if it may.
-        std::optional<prompt_part_id> blocked_part;
-        /// Time after which the part may be tried.
+        /// The trait for which it may not; empty if it may.
+        std::optional<request_trait> blocked_trait;
+        /// Time after which the trait may be tried.
         duration retry_after{};
-        /// Whether the request is sent to try a blocked part.
+        /// Whether the request is sent to try a blocked trait.
         bool is_probe = false;
     };
 
     /// \brief Sets the name of this entry and the other entries, of which one
-    /// at a time may try a blocked part.
+    /// at a time may try a blocked trait.
     void set_entries(process_name self, std::vector<process_name> others);
 
     [[nodiscard]] crash_evidence& evidence() noexcept { return evidence_; }
@@ -68,17 +71,15 @@
         return evidence_;
     }
 
-    [[nodiscard]] verdict
-    admit(std::vector<prompt_part_id> const& parts, time_point now);
+    [[nodiscard]] verdict admit(request_traits const& traits, time_point now);
     /// \brief Whether a request must not be sent, unless it is a probe.
-    [[nodiscard]] bool
-    is_blocked(std::vector<prompt_part_id> const& parts) const;
+    [[nodiscard]] bool is_blocked(request_traits const& traits) const;
 
-    /// \brief Records that a replica sends the answer to a prompt.
-    void on_answered(std::vector<prompt_part_id> const& parts, time_point now);
-    /// \brief Records that a replica ended as it began to answer a probe.
-    void
-    on_probe_crashed(std::vector<prompt_part_id> const& parts, time_point now);
+    /// \brief Records how far a replica has answered a request.
+    void on_answered(
+        request_traits const& traits, answer_progress progress, time_point now);
+    /// \brief Records that a replica ended as it ran a probe.
+    void on_probe_crashed(request_traits const& suspects, time_point now);
 
     /// \brief Judges the evidence.
     /// \returns What has changed since the last call.
@@ -98,26 +99,32 @@
     }
 
 private:
-    /// Parts with the indices of the incidents that speak against them.
-    using suspicion = std::map<prompt_part_id, std::set<std::size_t>>;
-
-    void find_culprit(
+    /// Traits with the indices of the incidents that speak against them.
+    using suspicion = std::map<request_trait, std::set<std::size_t>>;
+
+    /// Blames requests under which replicas ended one after the other.
+    void find_requests(time_point now);
+    [[nodiscard]] bool is_explained_by_part(request_trait const& request) const;
+    void drop_parts_explained_by(request_trait const& request);
+    /// Blames the prompt part that explains the incidents best.
+    void find_part(
         std::vector<crash_evidence::incident> const& incidents, time_point now);
-    /// \returns Whether a part was blamed.
+    /// \returns Whether one was blamed.
     [[nodiscard]] bool blame_best(
         suspicion const& candidates, suspicion const& all, time_point now);
-    void blame_best_answered(suspicion const& candidates, time_point now);
+    void blame_best_answered(
+        suspicion const& candidates, suspicion const& all, time_point now);
     [[nodiscard]] std::size_t unexplained(
         std::set<std::size_t> const& against, suspicion const& all) const;
     void
-    blame(prompt_part_id const& part, std::size_t incidents, time_point now);
-    /// Ends blames for crashes that a part with more of them explains.
-    void drop_explained(prompt_part_id const& culprit, suspicion const&);
+    blame(request_trait const& trait, std::size_t incidents, time_point now);
+    /// Ends blames for crashes that a trait with more of them explains.
+    void drop_explained(request_trait const& culprit, suspicion const&);
     void end(trait_blame& it, change reason);
     /// Ends blames for crashes after which an answer was reported late.
     void end_refuted();
     void make_room(std::size_t wanted);
-    [[nodiscard]] trait_blame const* find_active(prompt_part_id const&) const;
+    [[nodiscard]] trait_blame const* find_active(request_trait const&) const;
     [[nodiscard]] bool may_probe(trait_blame const& it, time_point now) const;
 
     std::optional<time_point> started_at_;
@@ -125,9 +132,9 @@
     std::vector<process_name> others_;
     crash_evidence evidence_;
     /// Also those that have ended, so that no late report revives them.
-    std::map<prompt_part_id, trait_blame> blames_;
-    /// Crashes for which this entry has blamed a part.
-    std::map<prompt_part_id, std::vector<replica_run>> grounds_;
+    std::map<request_trait, trait_blame> blames_;
+    /// Crashes for which this entry has blamed a trait.
+    std::map<request_trait, std::vector<replica_run>> grounds_;
     std::vector<decision> decisions_;
     std::uint64_t revision_ = 0;
 };
--- a/include/hornbeamweir/relay/request_trait.hpp
+++ b/include/hornbeamweir/relay/request_trait.hpp
@@ -32,11 +32,6 @@
 
 using request_traits = std::vector<request_trait>;
 
-/// \returns All traits of a request.
-/// \param customer Owner of its API key; empty if it has none.
-[[nodiscard]] request_traits
-traits_of(relay_request const& request, customer_id const& customer);
-
 /// \returns Kind and value, for logs.
 [[nodiscard]] std::string to_string(request_trait const& it);
 
--- a/src/peers/crash_messages.cpp
+++ b/src/peers/crash_messages.cpp
@@ -12,16 +12,48 @@
 using relay::crash_evidence;
 using relay::request_quarantine;
 
-template <typename Names>
-std::set<prompt_part_id> decode_parts(Names const& names)
+wire::request_trait encode_trait(relay::request_trait const& it)
 {
-    std::set<prompt_part_id> out;
-    for (std::string const& it : names)
+    wire::request_trait out;
+    out.set_kind(static_cast<wire::request_trait::trait_kind>(it.kind));
+    out.set_value(it.value);
+    return out;
+}
+
+/// \returns Empty if the kind is unknown, or the value has no usual size.
+std::optional<relay::request_trait>
+decode_trait(wire::request_trait const& message)
+{
+    constexpr std::size_t max_value_bytes = 64;
+    bool const is_valid =
+        wire::request_trait::trait_kind_IsValid(message.kind()) &&
+        !message.value().empty() && message.value().size() <= max_value_bytes;
+    if (!is_valid)
+        return std::nullopt;
+    return relay::request_trait{
+        static_cast<relay::trait_kind>(message.kind()), message.value()};
+}
+
+void decode_suspects(wire::crash const& message, relay::crash_record& out)
+{
+    constexpr std::size_t max_suspects =
+        crash_evidence::max_suspects *
+        enum_table<relay::trait_kind>::rows.size();
+    std::uint64_t const max_age =
+        static_cast<std::uint64_t>(duration{crash_evidence::max_age}.count());
+    for (wire::crash_suspect const& it : message.suspects())
     {
-        if (!it.empty() && out.size() < crash_evidence::max_suspects)
-            out.emplace(it);
+        std::optional<relay::request_trait> const trait =
+            decode_trait(it.trait());
+        if (!trait || out.suspects.size() >= max_suspects)
+            continue;
+        out.suspects[*trait] = duration{static_cast<duration::rep>(
+            std::min<std::uint64_t>(it.in_progress_us(), max_age))};
+        if (it.refuted())
+            out.refuted.insert(*trait);
+        if (it.answered_before())
+            out.answered_before.insert(*trait);
     }
-    return out;
 }
 
 } // namespace
@@ -38,17 +70,20 @@
         crash.set_age_us(static_cast<std::uint64_t>(
             std::max(now - it.at, duration::zero()).count()));
         crash.set_confirmed(it.confirmed);
-        for (prompt_part_id const& part : it.suspects)
-            crash.add_suspects(part.str());
-        for (prompt_part_id const& part : it.refuted)
-            crash.add_refuted(part.str());
-        for (prompt_part_id const& part : it.answered_before)
-            crash.add_answered_before(part.str());
+        for (auto const& [trait, in_progress] : it.suspects)
+        {
+            wire::crash_suspect& suspect = *crash.add_suspects();
+            *suspect.mutable_trait() = encode_trait(trait);
+            suspect.set_in_progress_us(
+                static_cast<std::uint64_t>(in_progress.count()));
+            suspect.set_refuted(it.refuted.contains(trait));
+            suspect.set_answered_before(it.answered_before.contains(trait));
+        }
     }
     for (relay::trait_blame const& it : report.blames)
     {
         wire::trait_blame& blame = *out.add_blames();
-        blame.set_part(it.part.str());
+        *blame.mutable_trait() = encode_trait(it.trait);
         blame.set_generation(it.generation);
         blame.set_ended(it.ended);
         blame.set_level(it.level);
@@ -70,13 +105,12 @@
             continue;
         duration const age{static_cast<duration::rep>(std::min<std::uint64_t>(
             it.age_us(), static_cast<std::uint64_t>(max_age)))};
-        out.crashes.push_back(
-            {{backend_server_id{it.replica()}, it.registration_revision()},
-             now - age,
-             it.confirmed(),
-             decode_parts(it.suspects()),
-             decode_parts(it.refuted()),
-             decode_parts(it.answered_before())});
+        relay::crash_record& decoded = out.crashes.emplace_back();
+        decoded.run = {
+            backend_server_id{it.replica()}, it.registration_revision()};
+        decoded.at = now - age;
+        decoded.confirmed = it.confirmed();
+        decode_suspects(it, decoded);
     }
     std::int64_t const max_block =
         duration{request_quarantine::max_block}.count();
@@ -84,13 +118,14 @@
         duration{request_quarantine::max_idle}.count();
     for (wire::trait_blame const& it : message.blames())
     {
-        if (it.part().empty() ||
-            out.blames.size() >= request_quarantine::max_blames)
+        std::optional<relay::request_trait> const trait =
+            decode_trait(it.trait());
+        if (!trait || out.blames.size() >= request_quarantine::max_blames)
             continue;
         duration const left{
             std::clamp(it.blocked_for_us(), -2 * max_idle, max_block)};
         out.blames.push_back(
-            {prompt_part_id{it.part()},
+            {*trait,
              it.generation(),
              it.ended(),
              it.level(),
--- a/src/relay/relay_quarantine.cpp
+++ b/src/relay/relay_quarantine.cpp
@@ -3,16 +3,6 @@
 namespace hornbeamweir::relay
 {
 
-namespace
-{
-
-constexpr std::array<char const*, 3> answer_names{"none", "head", "data"};
-/// Time after the head of a response within which its replica must end, if the
-/// begin of the answer is the cause.
-constexpr duration max_crash_delay = std::chrono::milliseconds{500};
-
-} // namespace
-
 replica_run relay_core::run_of(request_state const& request)
 {
     return {request.target, request.target_registration};
@@ -29,26 +19,23 @@
         .with("attempt", request.attempt)
         .with("replica", request.target)
         .with("may_have_run", may_have_run ? "yes" : "no")
-        .with("answer", answer_names[static_cast<std::size_t>(request.answer)])
+        .with("answer", name_of(request.answer))
         .with("traits", traits)
         .with("reason", reason);
     log_.info(line);
 }
 
-// A replica that has sent data has got over the begin of its answer; one that
-// has not sent a head may not have begun.
 void relay_core::observe_broken_attempt(
     request_state& request, time_point now, actions& out)
 {
-    std::vector<prompt_part_id> const& parts = request.message.shared_parts;
-    bool const has_just_begun = request.answer == answer_progress::head &&
-                                now - request.answer_began <= max_crash_delay;
-    if (!has_just_begun || parts.empty())
+    request_traits const suspects =
+        suspects_of(request.traits, request.answer, now - request.answer_began);
+    if (suspects.empty())
         return;
     if (std::exchange(request.is_probe, false))
-        quarantine_.on_probe_crashed(parts, now);
-    bool const is_first =
-        quarantine_.evidence().on_broken_answer(run_of(request), parts, now);
+        quarantine_.on_probe_crashed(suspects, now);
+    bool const is_first = quarantine_.evidence().on_broken_answer(
+        run_of(request), suspects, now - request.attempt_started, now);
     replica const* const target = directory_.find(request.target);
     if (is_first && target)
         out.push_back(check_replica{*target});
@@ -64,12 +51,13 @@
     log_.info(line);
 }
 
-void relay_core::observe_answer(request_state& request, time_point now)
+void relay_core::observe_answer(
+    request_state& request, answer_progress progress, time_point now)
 {
-    if (request.answer == answer_progress::data)
+    if (request.answer >= progress)
         return;
-    request.answer = answer_progress::data;
-    quarantine_.on_answered(request.message.shared_parts, now);
+    request.answer = progress;
+    quarantine_.on_answered(request.traits, progress, now);
 }
 
 bool relay_core::reject_if_quarantined(
@@ -77,20 +65,24 @@
 {
     request_state& request = it->second;
     request_quarantine::verdict const found =
-        quarantine_.admit(request.message.shared_parts, now);
+        quarantine_.admit(request.traits, now);
     request.is_probe = found.is_probe;
     if (found.is_probe)
     {
-        event line{"prompt_part_tried"};
+        event line{"request_trait_tried"};
         line.with("id", request.message.id);
         log_.info(line);
     }
-    if (!found.blocked_part)
+    if (!found.blocked_trait)
         return false;
+    bool const is_part = found.blocked_trait->kind == trait_kind::prompt_part;
     send_error response;
-    response.code = result_code::prompt_quarantined;
-    response.detail = "replicas ended as they answered prompts with the part " +
-                      found.blocked_part->str();
+    response.code = is_part ? result_code::prompt_quarantined
+                            : result_code::request_quarantined;
+    response.detail =
+        is_part ? "replicas ended as they answered prompts with the part " +
+                      found.blocked_trait->value
+                : "replicas ended as they ran this request";
     response.retry_after = retry_after_.plan_after(found.retry_after);
     send_rejection(it, std::move(response), now, out);
     return true;
@@ -116,8 +108,8 @@
     for (request_quarantine::decision const& it : quarantine_.on_tick(now))
     {
         has_new = has_new || !it.blame.ended;
-        event line{"prompt_part_judged"};
-        line.with("part", it.blame.part)
+        event line{"request_trait_judged"};
+        line.with("trait", to_string(it.blame.trait))
             .with("change", name_of(it.kind))
             .with("incidents", it.incidents)
             .with("generation", it.blame.generation)
@@ -129,7 +121,7 @@
                 (it.blame.blocked_until - now).count() / us_per_ms);
         log_.info(line);
         metrics_.count(
-            "hornbeamweir_prompt_parts_judged_total",
+            "hornbeamweir_request_traits_judged_total",
             {{"change", std::string{name_of(it.kind)}}});
     }
     if (!has_new)
@@ -166,7 +158,7 @@
         end_attempt(request, attempt_outcome::abandoned, now);
         request.may_have_run = true;
     }
-    request.last_failure = "its prompt is blocked";
+    request.last_failure = "requests like it are blocked";
     fail(it, now, out);
 }
 
--- a/src/relay/relay_responses.cpp
+++ b/src/relay/relay_responses.cpp
@@ -153,7 +153,7 @@
         if (service.limiter)
             service.limiter->on_gap(gap);
     }
-    observe_answer(request, now);
+    observe_answer(request, answer_progress::data, now);
     request.last_progress = now;
     service.last_progress = now;
     if (!request.first_data_at)
@@ -188,7 +188,8 @@
             request,
             failed ? attempt_outcome::failed : attempt_outcome::succeeded,
             now);
-        observe_answer(request, now);
+        observe_answer(request, answer_progress::data, now);
+        observe_answer(request, answer_progress::complete, now);
         if (!request.first_data_at)
             request.first_data_at = now;
         forward(it, {}, out);
--- a/src/relay/request_quarantine.cpp
+++ b/src/relay/request_quarantine.cpp
@@ -12,15 +12,19 @@
 /// Time after a crash for which the observations of other entries, which may
 /// refute it, are awaited.
 constexpr duration settling_time = std::chrono::milliseconds{400};
-/// Incidents after which a part is blamed that explains more of them than any
-/// other one, of those that were not answered shortly before.
+/// Incidents after which a prompt part is blamed that explains more of them
+/// than any other one, of those that were not answered shortly before.
 constexpr std::size_t min_incidents = 2;
 /// The same if several explain as many.
 constexpr std::size_t min_unclear_incidents = 3;
 /// Incidents after which a part is blamed although it was answered shortly
 /// before.
 constexpr std::size_t min_answered_incidents = 4;
-/// Time after its start from which an entry knows which parts are answered.
+/// Ends of replicas one after the other under a request after which it is
+/// blamed, and the same if it was answered shortly before.
+constexpr std::size_t min_ends = 3;
+constexpr std::size_t min_answered_ends = 4;
+/// Time after its start from which an entry knows which traits are answered.
 constexpr duration min_memory = std::chrono::seconds{10};
 /// Time for which one entry may send a probe, before it is the turn of another.
 constexpr duration probe_turn = std::chrono::seconds{3};
@@ -46,26 +50,25 @@
 }
 
 trait_blame const*
-request_quarantine::find_active(prompt_part_id const& part) const
+request_quarantine::find_active(request_trait const& trait) const
 {
-    auto const it = blames_.find(part);
+    auto const it = blames_.find(trait);
     return it == blames_.end() || it->second.ended ? nullptr : &it->second;
 }
 
-bool request_quarantine::is_blocked(
-    std::vector<prompt_part_id> const& parts) const
+bool request_quarantine::is_blocked(request_traits const& traits) const
 {
     return std::any_of(
-        parts.begin(),
-        parts.end(),
-        [&](prompt_part_id const& it) { return find_active(it) != nullptr; });
+        traits.begin(),
+        traits.end(),
+        [&](request_trait const& it) { return find_active(it) != nullptr; });
 }
 
-request_quarantine::verdict request_quarantine::admit(
-    std::vector<prompt_part_id> const& parts, time_point now)
+request_quarantine::verdict
+request_quarantine::admit(request_traits const& traits, time_point now)
 {
     verdict out;
-    for (prompt_part_id const& it : parts)
+    for (request_trait const& it : traits)
     {
         trait_blame const* const known = find_active(it);
         if (!known)
@@ -78,7 +81,7 @@
     if (!out.is_probe)
         return out;
     // Nobody sends another one until the outcome should be known.
-    for (prompt_part_id const& it : parts)
+    for (request_trait const& it : traits)
     {
         if (!find_active(it))
             continue;
@@ -90,7 +93,7 @@
     return out;
 }
 
-// Each turn is another entry's, so that all come to try the part, although few
+// Each turn is another entry's, so that all come to try the trait, although few
 // of its requests may arrive at any one.
 bool request_quarantine::may_probe(trait_blame const& it, time_point now) const
 {
@@ -100,7 +103,7 @@
     auto const weight = [&](process_name const& name)
     {
         return stable_hash(
-            it.part.str() + '/' + std::to_string(turn) + '/' + name.str());
+            it.trait.value + '/' + std::to_string(turn) + '/' + name.str());
     };
     std::uint64_t const own = weight(self_);
     return std::none_of(
@@ -110,22 +113,22 @@
 }
 
 void request_quarantine::on_answered(
-    std::vector<prompt_part_id> const& parts, time_point now)
+    request_traits const& traits, answer_progress progress, time_point now)
 {
-    evidence_.on_answered(parts, now);
-    if (blames_.empty())
-        return;
-    for (prompt_part_id const& it : parts)
+    for (request_trait const& it : traits)
     {
+        if (policy_of(it.kind).cleared_by != progress)
+            continue;
+        evidence_.on_answered(it, now);
         if (find_active(it))
             end(blames_.at(it), change::answered);
     }
 }
 
 void request_quarantine::on_probe_crashed(
-    std::vector<prompt_part_id> const& parts, time_point now)
+    request_traits const& suspects, time_point now)
 {
-    for (prompt_part_id const& it : parts)
+    for (request_trait const& it : suspects)
     {
         if (!find_active(it))
             continue;
@@ -160,68 +163,131 @@
     end_refuted();
     std::vector<crash_evidence::incident> const incidents =
         evidence_.incidents_before(now - settling_time);
+    find_requests(now);
     if (incidents.size() >= min_incidents)
-        find_culprit(incidents, now);
+        find_part(incidents, now);
     return std::exchange(decisions_, {});
 }
 
 void request_quarantine::end_refuted()
 {
-    for (auto const& [part, runs] : grounds_)
+    for (auto const& [trait, runs] : grounds_)
     {
         bool const is_refuted = std::any_of(
             runs.begin(),
             runs.end(),
-            [&, &blamed = part](replica_run const& it)
+            [&, &blamed = trait](replica_run const& it)
             { return evidence_.is_refuted(blamed, it); });
-        if (is_refuted && find_active(part))
-            end(blames_.at(part), change::answered);
+        if (is_refuted && find_active(trait))
+            end(blames_.at(trait), change::answered);
     }
     std::erase_if(
         grounds_, [&](auto const& it) { return !find_active(it.first); });
 }
 
+// Most requests are sent once, and to few replicas, so that one under which
+// several replicas have ended one after the other is told from those that were
+// there by chance. A prompt part that explains more ends goes first.
+void request_quarantine::find_requests(time_point now)
+{
+    bool const is_young = now - *started_at_ < min_memory;
+    for (auto const& [trait, ends] : evidence_.sequences_before(
+             now - settling_time, trait_kind::whole_request))
+    {
+        bool const may_be_usual =
+            is_young || evidence_.was_answered_before(trait);
+        std::size_t const wanted = may_be_usual ? min_answered_ends : min_ends;
+        if (ends < wanted || find_active(trait) || is_explained_by_part(trait))
+            continue;
+        drop_parts_explained_by(trait);
+        blame(trait, ends, now);
+    }
+}
+
+bool request_quarantine::is_explained_by_part(
+    request_trait const& request) const
+{
+    std::vector<replica_run> const ends = evidence_.held_against(request);
+    return std::any_of(
+        blames_.begin(),
+        blames_.end(),
+        [&](auto const& it)
+        {
+            if (it.second.ended || it.first.kind != trait_kind::prompt_part)
+                return false;
+            std::vector<replica_run> const of_part =
+                evidence_.held_against(it.first);
+            return of_part.size() > ends.size() && std::includes(
+                                                       of_part.begin(),
+                                                       of_part.end(),
+                                                       ends.begin(),
+                                                       ends.end());
+        });
+}
+
+// A part of a request that crashes replicas may be harmless in others.
+void request_quarantine::drop_parts_explained_by(request_trait const& request)
+{
+    std::vector<replica_run> const ends = evidence_.held_against(request);
+    for (auto& [trait, known] : blames_)
+    {
+        if (known.ended || trait.kind != trait_kind::prompt_part)
+            continue;
+        std::vector<replica_run> const of_part = evidence_.held_against(trait);
+        bool const is_explained = std::includes(
+            ends.begin(), ends.end(), of_part.begin(), of_part.end());
+        if (!is_explained)
+            continue;
+        evidence_.refute(trait);
+        end(known, change::explained_by_other);
+    }
+}
+
 // Shared parts of many prompts are suspected of every crash while no replica
 // answers anything. Those that were answered until the crashes began are
 // therefore judged only if no other part explains the crashes.
-void request_quarantine::find_culprit(
+void request_quarantine::find_part(
     std::vector<crash_evidence::incident> const& incidents, time_point now)
 {
     // An entry that has just started has seen no answers.
     bool const is_young = now - *started_at_ < min_memory;
-    std::set<prompt_part_id> answered;
+    std::set<request_trait> answered;
     for (crash_evidence::incident const& it : incidents)
         answered.insert(it.answered_before.begin(), it.answered_before.end());
     suspicion not_answered;
+    suspicion parts;
     suspicion all;
     for (std::size_t n = 0; n < incidents.size(); ++n)
     {
-        for (prompt_part_id const& it : incidents[n].suspects)
+        for (request_trait const& it : incidents[n].suspects)
         {
             all[it].insert(n);
+            if (it.kind != trait_kind::prompt_part)
+                continue;
+            parts[it].insert(n);
             if (!is_young && !answered.contains(it))
                 not_answered[it].insert(n);
         }
     }
     if (!blame_best(not_answered, all, now))
-        blame_best_answered(all, now);
+        blame_best_answered(parts, all, now);
 }
 
 bool request_quarantine::blame_best(
     suspicion const& candidates, suspicion const& all, time_point now)
 {
     std::size_t best = 0;
-    std::vector<prompt_part_id> tied;
-    for (auto const& [part, against] : candidates)
+    std::vector<request_trait> tied;
+    for (auto const& [trait, against] : candidates)
     {
-        if (find_active(part))
+        if (find_active(trait))
             continue;
         std::size_t const count = unexplained(against, all);
         if (count > best)
             tied.clear();
         best = std::max(best, count);
         if (count == best)
-            tied.push_back(part);
+            tied.push_back(trait);
     }
     std::size_t const wanted =
         tied.size() == 1 ? min_incidents : min_unclear_incidents;
@@ -233,41 +299,41 @@
 }
 
 void request_quarantine::blame_best_answered(
-    suspicion const& candidates, time_point now)
+    suspicion const& candidates, suspicion const& all, time_point now)
 {
     bool const is_explained = std::any_of(
         blames_.begin(),
         blames_.end(),
         [&](auto const& it)
-        { return !it.second.ended && candidates.contains(it.first); });
+        { return !it.second.ended && all.contains(it.first); });
     if (is_explained)
         return;
-    prompt_part_id const* culprit = nullptr;
+    request_trait const* culprit = nullptr;
     std::size_t most = min_answered_incidents;
-    for (auto const& [part, against] : candidates)
+    for (auto const& [trait, against] : candidates)
     {
         bool const is_better = against.size() > most ||
                                (against.size() == most &&
-                                (!culprit || evidence_.answers(part) <
+                                (!culprit || evidence_.answers(trait) <
                                                  evidence_.answers(*culprit)));
         if (!is_better)
             continue;
-        culprit = &part;
+        culprit = &trait;
         most = against.size();
     }
     if (culprit)
         blame(*culprit, most, now);
 }
 
-// Crashes that a blamed part explains speak against another one only if that
+// Crashes that a blamed trait explains speak against another one only if that
 // one explains all of them, and more.
 std::size_t request_quarantine::unexplained(
     std::set<std::size_t> const& against, suspicion const& all) const
 {
     std::set<std::size_t> left = against;
-    for (auto const& [part, known] : blames_)
+    for (auto const& [trait, known] : blames_)
     {
-        auto const found = all.find(part);
+        auto const found = all.find(trait);
         if (known.ended || found == all.end())
             continue;
         bool const explains_more =
@@ -300,27 +366,27 @@
 }
 
 void request_quarantine::blame(
-    prompt_part_id const& part, std::size_t incidents, time_point now)
+    request_trait const& trait, std::size_t incidents, time_point now)
 {
-    auto const ended = blames_.find(part);
+    auto const ended = blames_.find(trait);
     std::uint32_t const generation =
         ended == blames_.end() ? 1 : ended->second.generation + 1;
     if (ended == blames_.end())
         make_room(1);
-    trait_blame& created = blames_[part];
-    created = {part, generation, false, 0, 0, now + first_block};
-    grounds_[part] = evidence_.held_against(part);
+    trait_blame& created = blames_[trait];
+    created = {trait, generation, false, 0, 0, now + first_block};
+    grounds_[trait] = evidence_.held_against(trait);
     ++revision_;
     decisions_.push_back({change::blamed, created, incidents});
 }
 
 void request_quarantine::drop_explained(
-    prompt_part_id const& culprit, suspicion const& suspects)
+    request_trait const& culprit, suspicion const& suspects)
 {
     std::set<std::size_t> const& more = suspects.at(culprit);
-    for (auto& [part, known] : blames_)
+    for (auto& [trait, known] : blames_)
     {
-        auto const found = suspects.find(part);
+        auto const found = suspects.find(trait);
         bool const is_explained = !known.ended && found != suspects.end() &&
                                   found->second.size() < more.size() &&
                                   std::includes(
@@ -330,7 +396,7 @@
                                       found->second.end());
         if (!is_explained)
             continue;
-        evidence_.refute(part);
+        evidence_.refute(trait);
         end(known, change::explained_by_other);
     }
 }
@@ -339,7 +405,7 @@
 {
     crash_report out;
     out.crashes = evidence_.records();
-    for (auto const& [part, known] : blames_)
+    for (auto const& [trait, known] : blames_)
         out.blames.push_back(known);
     return out;
 }
@@ -351,11 +417,11 @@
     {
         if (now - it.blocked_until > max_idle)
             continue;
-        auto const known = blames_.find(it.part);
+        auto const known = blames_.find(it.trait);
         if (known == blames_.end())
         {
             make_room(1);
-            blames_.emplace(it.part, it);
+            blames_.emplace(it.trait, it);
         }
         else if (known->second.stage() < it.stage())
             known->second = it;
--- a/test/support/crash_simulation.cpp
+++ b/test/support/crash_simulation.cpp
@@ -118,7 +118,8 @@
 bool crash_simulation::is_blocked(
     std::size_t entry, std::string const& part) const
 {
-    return entries_[entry]->quarantine().is_blocked({prompt_part_id{part}});
+    return entries_[entry]->quarantine().is_blocked(
+        {{trait_kind::prompt_part, part}});
 }
 
 void crash_simulation::exchange_reports()
@@ -146,6 +147,17 @@
     }
 }
 
+bool crash_simulation::is_body_blocked(
+    std::size_t entry, std::string const& body) const
+{
+    relay_request sent;
+    sent.method = "POST";
+    sent.target = "/plain/";
+    sent.host = "h";
+    sent.body = body;
+    return entries_[entry]->quarantine().is_blocked(traits_of(sent, {}));
+}
+
 std::string crash_simulation::id_of(std::size_t replica) const
 {
     return std::to_string(replica) + "-" +
--- a/test/support/crash_simulation.hpp
+++ b/test/support/crash_simulation.hpp
@@ -85,6 +85,9 @@
     /// \returns Whether an entry would send a request with a part.
     [[nodiscard]] bool
     is_blocked(std::size_t entry, std::string const& part) const;
+    /// \returns Whether an entry would send a plain request with a body.
+    [[nodiscard]] bool
+    is_body_blocked(std::size_t entry, std::string const& body) const;
     /// \brief Advances the time by 10 ms.
     void step();
 
