File what an answer says under the replica and run that gave it

A replica that had restarted under its id got no requests for good, if an answer of its run before, with Server-Leaving, arrived after its new registration was read.

Cause: on_leaving took the registration known at the time of the answer instead of the one to which the request had been sent. Class of fault: a late message judged by present state. The same cause elsewhere: a 421 comes from another replica at the address, and what it said of itself was filed under the target.

A rest still binds a replica that restarted under its id: a registration that is replaced in an outage of the store can't be told from a restart.

--- a/include/hornbeamweir/relay/replica_exclusions.hpp
+++ b/include/hornbeamweir/relay/replica_exclusions.hpp
@@ -26,8 +26,10 @@
 
     /// \brief Records that a replica is about to stop. It becomes eligible
     /// again only if it registers anew.
+    /// \param registration That to which the answered request was sent: the
+    /// replica may have restarted since.
     /// \returns False if that was known.
-    bool on_leaving(replica const& it);
+    bool on_leaving(backend_server_id const& id, std::int64_t registration);
 
     /// \brief Records that a replica wants no requests for some time.
     /// \returns The end of that time, with a random addition, so that entries
--- a/src/relay/relay_exclusions.cpp
+++ b/src/relay/relay_exclusions.cpp
@@ -5,24 +5,32 @@
 namespace hornbeamweir::relay
 {
 
+namespace
+{
+
+/// A different replica has answered.
+constexpr unsigned misdirected = 421;
+
+} // namespace
+
 void relay_core::observe_replica(
     request_state const& request,
     replica_response_head const& head,
     time_point now)
 {
-    replica const* const target = directory_.find(request.target);
     replica const* const lost =
         directory_.find(backend_server_id{head.faulty_replica});
     if (lost && head.not_executed)
         quarantine_.evidence().on_ended(
             {lost->id, lost->registration_revision}, now);
-    if (head.is_leaving && target && exclusions_.on_leaving(*target))
+    if (head.is_leaving && head.status != misdirected &&
+        exclusions_.on_leaving(request.target, request.target_registration))
     {
         event line{"replica_excluded"};
         line.with("id", request.message.id)
             .with("replica", request.target)
             .with("reason", "leaving")
-            .with("registration", target->registration_revision);
+            .with("registration", request.target_registration);
         log_.info(line);
         metrics_.count(
             "hornbeamweir_replicas_excluded_total", {{"reason", "leaving"}});
--- a/src/relay/replica_exclusions.cpp
+++ b/src/relay/replica_exclusions.cpp
@@ -15,12 +15,12 @@
 
 } // namespace
 
-bool replica_exclusions::on_leaving(replica const& it)
+bool replica_exclusions::on_leaving(
+    backend_server_id const& id, std::int64_t registration)
 {
-    auto const [known, added] =
-        leaving_.emplace(it.id, it.registration_revision);
-    bool const is_newer = known->second < it.registration_revision;
-    known->second = std::max(known->second, it.registration_revision);
+    auto const [known, added] = leaving_.emplace(id, registration);
+    bool const is_newer = known->second < registration;
+    known->second = std::max(known->second, registration);
     return added || is_newer;
 }
 
