Reject a retry at once if all replicas left rest for too long

A request that a replica had turned away waited for up to 1.5 s for replicas that had asked for a longer rest, and was then told to come back after a time that had nothing to do with it (0.9 to 2 s, cut to a third of the caller's time); requests that may not be retried were told that at once.

Cause: only new and queued requests asked backoff_of; retries went through reject_for_outage's path. Now a retry that finds no replica is ended at once if those that it may still use rest beyond its wait, and any request that ends not run while all replicas rest is told when the first rest ends. Pauses that end within the wait are still waited for ("a retry waits for a replica*" passed before and does).

"a retry does not wait*" and "retries that wait are*" failed before and pass. The second test's set-up is corrected: its 20 requests had left the replica room for retries, so nothing waited; now the replica takes none for the moment.

--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -54,6 +54,9 @@
 class relay_core
 {
 public:
+    /// Maximum time that a retry waits for a replica with free capacity.
+    static constexpr duration max_retry_wait = std::chrono::milliseconds{1500};
+
     relay_core(
         relay_settings settings,
         event_log& log,
@@ -244,6 +247,13 @@
     void share_rates(time_point now);
     void reject_for_backoff(
         request_iterator it, duration delay, time_point now, actions& out);
+    /// Whether all replicas that may get a retry have asked to be left alone
+    /// for longer than it may wait.
+    [[nodiscard]] bool
+    retry_would_rest(request_state const& request, time_point now) const;
+    /// Sends a retry, lets it wait for a replica, or ends it if the wait is in
+    /// vain.
+    void retry_or_reject(request_iterator it, time_point now, actions& out);
     /// Rejects queued requests that would wait for longer than they may.
     void reject_queued_for_backoff(
         service_state& state, duration delay, time_point now, actions& out);
--- a/src/relay/relay_exclusions.cpp
+++ b/src/relay/relay_exclusions.cpp
@@ -68,6 +68,34 @@
     return out;
 }
 
+// A replica that is added meanwhile may end the wait sooner; that can't be
+// known, and the caller is better told now.
+bool relay_core::retry_would_rest(
+    request_state const& request, time_point now) const
+{
+    time_point const last_start =
+        std::min(request.failed_at + max_retry_wait, request.deadline);
+    bool rests = false;
+    for (replica const* it : directory_.usable(request.service))
+    {
+        if (exclusions_.is_leaving(*it) || request.excluded.contains(it->id))
+            continue;
+        std::optional<time_point> const until =
+            exclusions_.backing_off_until(it->id, now);
+        if (!until || *until < last_start)
+            return false;
+        rests = true;
+    }
+    return rests || backoff_of(request.service, now);
+}
+
+void relay_core::retry_or_reject(
+    request_iterator it, time_point now, actions& out)
+{
+    if (!try_send(it, now, out) && retry_would_rest(it->second, now))
+        fail(it, now, out);
+}
+
 void relay_core::reject_for_backoff(
     request_iterator it, duration delay, time_point now, actions& out)
 {
--- a/src/relay/relay_quarantine.cpp
+++ b/src/relay/relay_quarantine.cpp
@@ -173,6 +173,12 @@
     if (!request.may_have_run && is_quarantined(request) &&
         reject_if_quarantined(it, now, out))
         return;
+    std::optional<duration> const rest = backoff_of(request.service, now);
+    if (rest && !request.may_have_run)
+    {
+        reject_for_backoff(it, *rest, now, out);
+        return;
+    }
     reject(
         it,
         request.may_have_run ? result_code::outcome_unknown
--- a/src/relay/relay_responses.cpp
+++ b/src/relay/relay_responses.cpp
@@ -15,8 +15,6 @@
 /// Minimum time to the deadline for a retry; with less, no response could
 /// arrive in time.
 constexpr duration min_attempt_time = std::chrono::milliseconds{100};
-/// Maximum time that a retry waits for a replica with free capacity.
-constexpr duration max_retry_wait = std::chrono::milliseconds{1500};
 /// Multiple of the target latency after which an attempt without response data
 /// counts as stalled, if other replicas of the service respond.
 constexpr int stall_latency_factor = 2;
@@ -67,7 +65,7 @@
         {
             request.phase = request_phase::awaiting_retry;
             request.failed_at = now;
-            static_cast<void>(try_send(it, now, out));
+            retry_or_reject(it, now, out);
         }
         else
             retry_or_fail(it, true, cause + " without a mark", now, out);
@@ -272,7 +270,7 @@
     }
     request.phase = request_phase::awaiting_retry;
     request.failed_at = now;
-    static_cast<void>(try_send(it, now, out));
+    retry_or_reject(it, now, out);
 }
 
 bool relay_core::is_stalled(request_state const& request, time_point now)
@@ -304,7 +302,7 @@
         if (expired)
             fail(it, now, out);
         else
-            static_cast<void>(try_send(it, now, out));
+            retry_or_reject(it, now, out);
         return;
     }
     if (request.phase == request_phase::queued)
@@ -386,7 +384,7 @@
     request.events.discard_partial_event();
     request.phase = request_phase::awaiting_retry;
     request.failed_at = now;
-    static_cast<void>(try_send(it, now, out));
+    retry_or_reject(it, now, out);
 }
 
 } // namespace hornbeamweir::relay
--- a/test/relay/resting_replica_test.cpp
+++ b/test/relay/resting_replica_test.cpp
@@ -115,11 +115,12 @@
 {
     relay_fixture fixture;
     auto const [first, second] = send_to_both(fixture, "/safe/x");
-    // No other replica is left, so the request waits.
-    for (std::uint64_t n = 100; n < 120; ++n)
-        static_cast<void>(fixture.request(n, "/safe/x", 4000));
-    REQUIRE_FALSE(
-        find_action<send_error>(answer(fixture, second, not_executed(503))));
+    // The other replica takes nothing for the moment, so the request waits.
+    fixture.core.loads().on_rank_status(
+        first.target.id, {false, 1, fixture.now});
+    actions const waiting = answer(fixture, second, not_executed(503));
+    REQUIRE_FALSE(find_action<send_error>(waiting));
+    REQUIRE_FALSE(find_action<open_attempt>(waiting));
     actions const out =
         answer(fixture, first, pause_response(milliseconds{3000}));
     actions const after = fixture.core.on_tick(fixture.now);
