Remember leaving replicas up to a number

replica_exclusions kept a record of each replica that had ever said that it leaves, until the entry's end. Found by reading. The newest 4,096 are kept now; older ones are gone, as registrations are numbered in order. Two names follow the glossary's term pause; the property's name too.

"leaving replicas are remembered up to a number*" fails on the code before, which remembers all 8,192 (seen from the code, not run), and passes with the others of test-relay (5,886 assertions).

--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -250,7 +250,7 @@
     /// Whether all replicas that may get a retry have asked to be left alone
     /// for longer than it may wait.
     [[nodiscard]] bool
-    retry_would_rest(request_state const& request, time_point now) const;
+    is_retry_paused(request_state const& request, time_point now) const;
     /// Sends a retry, lets it wait for a replica, or ends it if the wait is in
     /// vain.
     void retry_or_reject(request_iterator it, time_point now, actions& out);
--- a/include/hornbeamweir/relay/replica_exclusions.hpp
+++ b/include/hornbeamweir/relay/replica_exclusions.hpp
@@ -18,6 +18,9 @@
     /// Longest time for which a replica is left alone on its own request;
     /// longer ones are cut, as they would remove it for good.
     static constexpr duration max_retry_after = std::chrono::minutes{10};
+    /// Leaving replicas that are remembered; the oldest are forgotten first,
+    /// which are gone by then.
+    static constexpr std::size_t max_leaving = 4096;
 
     explicit replica_exclusions(random_source random) noexcept
         : random_{random}
--- a/src/relay/relay_exclusions.cpp
+++ b/src/relay/relay_exclusions.cpp
@@ -70,12 +70,12 @@
 
 // A replica that is added meanwhile may end the wait sooner; that can't be
 // known, and the caller is better told now.
-bool relay_core::retry_would_rest(
+bool relay_core::is_retry_paused(
     request_state const& request, time_point now) const
 {
     time_point const last_start =
         std::min(request.failed_at + max_retry_wait, request.deadline);
-    bool rests = false;
+    bool is_paused = false;
     for (replica const* it : directory_.usable(request.service))
     {
         if (exclusions_.is_leaving(*it) || request.excluded.contains(it->id))
@@ -84,15 +84,15 @@
             exclusions_.backing_off_until(it->id, now);
         if (!until || *until < last_start)
             return false;
-        rests = true;
+        is_paused = true;
     }
-    return rests || backoff_of(request.service, now);
+    return is_paused || backoff_of(request.service, now);
 }
 
 void relay_core::retry_or_reject(
     request_iterator it, time_point now, actions& out)
 {
-    if (!try_send(it, now, out) && retry_would_rest(it->second, now))
+    if (!try_send(it, now, out) && is_retry_paused(it->second, now))
         fail(it, now, out);
 }
 
--- a/src/relay/relay_quarantine.cpp
+++ b/src/relay/relay_quarantine.cpp
@@ -173,10 +173,10 @@
     if (!request.may_have_run && is_quarantined(request) &&
         reject_if_quarantined(it, now, out))
         return;
-    std::optional<duration> const rest = backoff_of(request.service, now);
-    if (rest && !request.may_have_run)
+    std::optional<duration> const pause = backoff_of(request.service, now);
+    if (pause && !request.may_have_run)
     {
-        reject_for_backoff(it, *rest, now, out);
+        reject_for_backoff(it, *pause, now, out);
         return;
     }
     reject(
--- a/src/relay/replica_exclusions.cpp
+++ b/src/relay/replica_exclusions.cpp
@@ -21,6 +21,13 @@
     auto const [known, added] = leaving_.emplace(id, registration);
     bool const is_newer = known->second < registration;
     known->second = std::max(known->second, registration);
+    if (leaving_.size() > max_leaving)
+    {
+        leaving_.erase(std::min_element(
+            leaving_.begin(),
+            leaving_.end(),
+            [](auto const& a, auto const& b) { return a.second < b.second; }));
+    }
     return added || is_newer;
 }
 
--- a/test/relay/replica_exclusions_test.cpp
+++ b/test/relay/replica_exclusions_test.cpp
@@ -203,3 +203,25 @@
         exclusions.on_retry_after(id, std::chrono::seconds{5}, now);
     CHECK(exclusions.on_retry_after(id, milliseconds{100}, now) == until);
 }
+
+TEST_CASE("leaving replicas are remembered up to a number, the newest ones")
+{
+    replica_exclusions exclusions{random_source{1}};
+    constexpr std::size_t count = 2 * replica_exclusions::max_leaving;
+    std::size_t remembered = 0;
+    for (std::size_t n = 1; n <= count; ++n)
+    {
+        std::int64_t const registration = static_cast<std::int64_t>(n);
+        static_cast<void>(exclusions.on_leaving(
+            backend_server_id{std::to_string(n)}, registration));
+    }
+    replica it;
+    for (std::size_t n = 1; n <= count; ++n)
+    {
+        it.id = backend_server_id{std::to_string(n)};
+        it.registration_revision = static_cast<std::int64_t>(n);
+        remembered += exclusions.is_leaving(it) ? 1 : 0;
+    }
+    CHECK(remembered == replica_exclusions::max_leaving);
+    CHECK(exclusions.is_leaving(it));
+}
--- a/test/relay/resting_replica_test.cpp
+++ b/test/relay/replica_pause_test.cpp
@@ -281,8 +281,8 @@
                                     it.registration_revision <= left->second;
             if (it.service != service || is_leaving)
                 continue;
-            auto const until = resting_until_.find(id);
-            if (until == resting_until_.end() || until->second <= fixture_.now)
+            auto const until = paused_until_.find(id);
+            if (until == paused_until_.end() || until->second <= fixture_.now)
                 return std::nullopt;
             duration const time = until->second - fixture_.now;
             out = std::min(out.value_or(time), time);
@@ -326,9 +326,9 @@
 
     void on_sent(open_attempt const& it)
     {
-        auto const until = resting_until_.find(it.target.id);
+        auto const until = paused_until_.find(it.target.id);
         RC_ASSERT(
-            until == resting_until_.end() || until->second <= fixture_.now);
+            until == paused_until_.end() || until->second <= fixture_.now);
         auto const left = leaving_.find(it.target.id);
         RC_ASSERT(
             left == leaving_.end() ||
@@ -364,7 +364,7 @@
         if (kind == 1)
         {
             head.retry_after = milliseconds{random_.below(5000)};
-            time_point& until = resting_until_[id];
+            time_point& until = paused_until_[id];
             until = std::max(until, fixture_.now + *head.retry_after);
         }
         if (random_.unit() < 0.15)
@@ -404,14 +404,14 @@
     std::map<backend_server_id, replica> replicas_;
     std::map<exchange_id, service_name> services_;
     std::map<exchange_id, open_request> open_;
-    std::map<backend_server_id, time_point> resting_until_;
+    std::map<backend_server_id, time_point> paused_until_;
     /// Registration with which a replica said that it leaves.
     std::map<backend_server_id, std::int64_t> leaving_;
 };
 
 } // namespace
 
-TEST_CASE("no request is sent to a replica that rests or leaves")
+TEST_CASE("no request is sent to a replica that wants a pause or leaves")
 {
     rc::prop(
         "random fleets, answers and restarts",
