--- a/test/support/child_process.cpp
+++ b/test/support/child_process.cpp
@@ -3,12 +3,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
-#include <set>
 #include <spawn.h>
 #include <sstream>
 #include <stdexcept>
@@ -38,6 +38,9 @@
     posix_spawn_file_actions_addopen(
         &actions, 1, output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
+    // A listening socket that is inherited would accept connections after the
+    // stand-in has closed it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, 3);
     int const failed = posix_spawn(
         &pid_, path.c_str(), &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
@@ -130,15 +133,25 @@
 
 int free_port()
 {
-    static std::set<int> given;
+    // Below the ports of outgoing connections, which would take it before it is
+    // used, or while its process is restarted.
+    constexpr unsigned first = 10'240;
+    constexpr unsigned count = 22'000;
+    constexpr unsigned stride = 131;
+    static std::atomic<unsigned> next{static_cast<unsigned>(getpid()) * stride};
     boost::asio::io_context context;
     while (true)
     {
-        boost::asio::ip::tcp::acceptor const acceptor{
-            context, {boost::asio::ip::address_v4::loopback(), 0}};
-        int const port = acceptor.local_endpoint().port();
-        if (given.insert(port).second)
-            return port;
+        unsigned const port = first + next++ % count;
+        boost::asio::ip::tcp::acceptor acceptor{context};
+        boost::system::error_code ec;
+        acceptor.open(boost::asio::ip::tcp::v4());
+        acceptor.bind(
+            {boost::asio::ip::address_v4::loopback(),
+             static_cast<std::uint16_t>(port)},
+            ec);
+        if (!ec)
+            return static_cast<int>(port);
     }
 }
 
