Send nothing to data centres that operators have evacuated

Change: entries read the evacuations with the configuration, whose long poll now covers the common prefix of both, so the number of calls is the same. evacuation_register keeps the set with the highest store revision; entries tell it to each other when it changes and every 500 ms while it isn't empty. replica_directory leaves the replicas out of usable(), from which first sends, retries, resumed streams and queued requests take theirs. Attempts in progress go on. If nothing is left, requests are rejected at once.

--- a/include/hornbeamweir/peers/state_sharing.hpp
+++ b/include/hornbeamweir/peers/state_sharing.hpp
@@ -2,6 +2,7 @@
 
 #include <hornbeamweir/core/identifier.hpp>
 #include <hornbeamweir/core/time.hpp>
+#include <hornbeamweir/replicas/evacuation_register.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -19,6 +20,7 @@
     time_point configuration_as_of{};
     std::uint64_t replicas_hash = 0;
     time_point replicas_as_of{};
+    evacuations evacuated{};
 };
 
 /// \brief known_state as sent to another process: ages instead of times.
@@ -29,6 +31,7 @@
     duration configuration_age{};
     std::uint64_t replicas_hash = 0;
     duration replicas_age{};
+    evacuations evacuated{};
 };
 
 /// \brief Lets most entries of a large fleet ask a few others whether their
--- a/include/hornbeamweir/relay/relay_codec.hpp
+++ b/include/hornbeamweir/relay/relay_codec.hpp
@@ -5,6 +5,7 @@
 #include <hornbeamweir/relay/relay_action.hpp>
 #include <hornbeamweir/routes/route_configuration.hpp>
 
+#include <optional>
 #include <string_view>
 
 namespace hornbeamweir
@@ -37,6 +38,13 @@
     /// \returns The path of readiness probes of an upstream load balancer.
     [[nodiscard]] virtual std::string readiness_path() const = 0;
 
+    /// \returns The common prefix of the keys that operators write: the
+    /// configuration and the evacuations.
+    [[nodiscard]] virtual std::string operator_prefix() const = 0;
+    /// \returns The data centre that is evacuated while a key exists; empty if
+    /// the key is no evacuation.
+    [[nodiscard]] virtual std::optional<data_centre_id>
+    evacuated_data_centre(std::string_view key) const = 0;
     /// \returns The key of the current configuration in the platform's store.
     [[nodiscard]] virtual std::string configuration_key() const = 0;
     /// \returns An error if the bytes are not a valid configuration.
--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -3,6 +3,7 @@
 #include <hornbeamweir/admission/fair_queue.hpp>
 #include <hornbeamweir/relay/event_splitter.hpp>
 #include <hornbeamweir/relay/relay_action.hpp>
+#include <hornbeamweir/relay/relay_core_settings.hpp>
 #include <hornbeamweir/relay/replica_chooser.hpp>
 #include <hornbeamweir/relay/replica_exclusions.hpp>
 #include <hornbeamweir/relay/replica_load_tracker.hpp>
@@ -14,6 +15,7 @@
 #include <hornbeamweir/relay/stream_limit.hpp>
 #include <hornbeamweir/relay/stream_share.hpp>
 #include <hornbeamweir/relay/trait_policy.hpp>
+#include <hornbeamweir/replicas/evacuation_register.hpp>
 #include <hornbeamweir/replicas/replica_directory.hpp>
 #include <hornbeamweir/routes/versioned_route_table.hpp>
 #include <hornbeamweir/routing/failure_tracker.hpp>
@@ -26,19 +28,6 @@
 namespace hornbeamweir::relay
 {
 
-struct relay_settings
-{
-    process_name name;
-    data_centre_id data_centre;
-    /// Staleness of the configuration above which keys are not accepted; less
-    /// than the time within which a withdrawn key must stop working.
-    duration max_staleness = std::chrono::milliseconds{4500};
-    retry_limits retry_budget;
-
-    [[nodiscard]] friend bool
-    operator==(relay_settings const&, relay_settings const&) = default;
-};
-
 /// \brief Whether any part of a failed attempt was sent to the replica.
 enum class attempt_progress
 {
@@ -111,6 +100,16 @@
     /// accepted.
     void on_not_accepting(replica const& checked, time_point now);
 
+    /// \brief Applies which data centres are out of service, as read from the
+    /// store or told by another entry. Their replicas get no requests from now
+    /// on; attempts in progress there go on.
+    [[nodiscard]] actions on_evacuations(
+        evacuations const& next, std::string_view source, time_point now);
+    [[nodiscard]] evacuation_register const& evacuated() const noexcept
+    {
+        return evacuated_;
+    }
+
     [[nodiscard]] actions on_tick(time_point now);
     /// \brief Applies what another entry has reported of crashes.
     [[nodiscard]] actions
@@ -286,6 +285,13 @@
     /// Judges crashes, and ends the requests that must not be sent any more.
     void update_quarantine(time_point now, actions& out);
     void stop_quarantined(request_iterator it, time_point now, actions& out);
+    void log_evacuations(
+        std::set<data_centre_id> const& before, std::string_view source);
+    /// \returns This entry's attempts in progress in a data centre.
+    [[nodiscard]] std::size_t
+    attempts_in(data_centre_id const& data_centre) const;
+    void
+    reject_for_evacuation(request_iterator it, time_point now, actions& out);
     void enqueue(request_iterator it, time_point now, actions& out);
     void dispatch(service_name const& name, time_point now, actions& out);
     void dispatch_all(time_point now, actions& out);
@@ -373,6 +379,7 @@
     random_source random_;
     versioned_route_table routes_;
     replica_directory directory_;
+    evacuation_register evacuated_;
     replica_load_tracker loads_;
     failure_tracker failures_;
     replica_exclusions exclusions_;
--- a/include/hornbeamweir/replicas/replica_directory.hpp
+++ b/include/hornbeamweir/replicas/replica_directory.hpp
@@ -4,6 +4,7 @@
 #include <hornbeamweir/replicas/replica.hpp>
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace hornbeamweir
@@ -37,8 +38,21 @@
     /// responded at its address.
     void on_misdirected(backend_server_id const& id, time_point now);
 
+    /// \brief Sets the data centres whose replicas get no requests.
+    void set_evacuated(std::set<data_centre_id> data_centres);
+
+    /// \brief Whether a service has replicas that could get requests, but all
+    /// of them are in evacuated data centres.
+    [[nodiscard]] bool is_evacuated(service_name const& service) const;
+
+    /// \returns The number of replicas in each data centre that are not
+    /// draining, evacuated or not.
+    [[nodiscard]] std::map<data_centre_id, std::size_t>
+    replicas_by_data_centre() const;
+
     /// \returns The replicas of a service that are not draining, not superseded
-    /// by a newer one at their address and not reported as misdirected.
+    /// by a newer one at their address, not reported as misdirected and not in
+    /// an evacuated data centre.
     [[nodiscard]] std::vector<replica const*> const&
     usable(service_name const& service) const;
 
@@ -62,6 +76,9 @@
     /// See usable(). Many requests are placed between two changes, so the
     /// replicas are compared with each other only at a change.
     std::map<service_name, std::vector<replica const*>> usable_;
+    std::set<data_centre_id> evacuated_;
+    /// Services with otherwise usable replicas in evacuated data centres.
+    std::set<service_name> evacuated_services_;
     /// Newest replica of each address.
     std::map<std::string, replica const*, std::less<>> newest_at_;
     /// Replicas that were not found at their address, and when.
--- a/include/hornbeamweir/routes/route_configuration_watcher.hpp
+++ b/include/hornbeamweir/routes/route_configuration_watcher.hpp
@@ -2,6 +2,7 @@
 
 #include <hornbeamweir/platform/change_poller.hpp>
 #include <hornbeamweir/relay/relay_codec.hpp>
+#include <hornbeamweir/replicas/evacuation_register.hpp>
 #include <hornbeamweir/telemetry/event_log.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -10,9 +11,10 @@
 namespace hornbeamweir
 {
 
-/// \brief Reads the configuration and long-polls the platform for newer
-/// versions.
-/// \remarks Recovers from outages of the platform, and reads again if the
+/// \brief Reads what operators have written, the configuration and the
+/// evacuations, and long-polls the platform for changes.
+/// \remarks Both have a common key prefix, so that one call serves both.
+/// Recovers from outages of the platform, and reads again if the
 /// history since the last revision is no longer available.
 class route_configuration_watcher
 {
@@ -23,6 +25,8 @@
     /// newest.
     /// \param confirmed Receives a time at which no newer configuration
     /// existed.
+    /// \param evacuated Receives the complete set of evacuated data centres
+    /// after each call, changed or not.
     route_configuration_watcher(
         boost::asio::io_context& context,
         platform& store,
@@ -31,7 +35,8 @@
         event_log& log,
         clock_function clock,
         std::function<void(route_configuration, time_point)> updated,
-        std::function<void(time_point)> confirmed);
+        std::function<void(time_point)> confirmed,
+        std::function<void(evacuations)> evacuated);
     route_configuration_watcher(route_configuration_watcher const&) = delete;
     route_configuration_watcher&
     operator=(route_configuration_watcher const&) = delete;
@@ -56,6 +61,10 @@
         time_point requested_at,
         duration wait);
     void on_configuration(std::string const& bytes, time_point as_of);
+    /// Applies one changed key.
+    /// \returns Whether it is the configuration.
+    bool on_change(watch_event const& change, time_point as_of);
+    void report_evacuations();
     void schedule_read(duration delay);
     void log_outage(error const& reason);
     void log_recovery();
@@ -67,8 +76,10 @@
     clock_function clock_;
     std::function<void(route_configuration, time_point)> updated_;
     std::function<void(time_point)> confirmed_;
+    std::function<void(evacuations)> evacuated_;
     boost::asio::steady_timer timer_;
     std::int64_t revision_ = 0;
+    std::set<data_centre_id> evacuated_data_centres_;
     duration poll_wait_;
     bool continuous_ = true;
     /// Whether a call or a timer for the next one is pending.
--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -108,11 +108,11 @@
         , readiness_{loop_.context(), settings_.readiness_address, http_limits{}, [this](std::shared_ptr<http_exchange> exchange, http_request_message const& request) { handle_readiness_request(*exchange, request); }, reject_unreadable_request}
         , admin_{loop_.context(), settings_.metrics_address, metrics_, admin_pages{[this] { return ready(); }, [this] { return status(); }, {}}}
         , platform_{connect(loop_.context(), settings_.platform_address)}
-        , routes_{loop_.context(), *platform_, *platform_, codec_, log_, suspend_aware_now, [this](route_configuration next, time_point as_of) { apply_configuration(std::move(next), as_of); }, [this](time_point as_of) { core_.routes().confirm(as_of); }}
+        , routes_{loop_.context(), *platform_, *platform_, codec_, log_, suspend_aware_now, [this](route_configuration next, time_point as_of) { apply_configuration(std::move(next), as_of); }, [this](time_point as_of) { core_.routes().confirm(as_of); }, [this](evacuations const& next) { exchanges_.apply(core_.on_evacuations(next, "store", suspend_aware_now())); }}
         , replicas_{loop_.context(), *platform_, codec_, log_, suspend_aware_now, [this](replica_watcher::snapshot snapshot) { apply_replicas(std::move(snapshot)); }}
         , registry_{loop_.context(), *platform_, log_, std::string{entry_role}, settings_.name, udp_endpoint(settings_.peers_address)}
         , link_{loop_.context(), udp_endpoint(settings_.peers_address), std::string{entry_role}, settings_.name.str(), random_.next(), metrics_, [this](boost::asio::ip::udp::endpoint const& from, wire::datagram const& message) { on_datagram(from, message); }}
-        , state_{settings_.name, std::string{entry_role}, core_.routes(), routes_, replicas_, registry_, link_, log_, metrics_}
+        , state_{settings_.name, std::string{entry_role}, core_.routes(), routes_, replicas_, core_.evacuated(), [this](evacuations const& next) { exchanges_.apply(core_.on_evacuations(next, "entry", suspend_aware_now())); }, registry_, link_, log_, metrics_}
         , crashes_{settings_.name, std::string{entry_role}, core_.quarantine(), registry_, link_, random_source{random_.next()}}
     {
     }
--- a/src/daemon/state_exchange.cpp
+++ b/src/daemon/state_exchange.cpp
@@ -9,6 +9,8 @@
 constexpr duration peers_interval = std::chrono::milliseconds{500};
 /// Waits of readers, so that their answers are young enough for others.
 constexpr duration shared_poll_wait = std::chrono::milliseconds{1000};
+/// Interval at which the data centres out of service are told again.
+constexpr duration evacuations_interval = std::chrono::milliseconds{500};
 
 std::uint64_t microseconds_of(duration value)
 {
@@ -24,6 +26,17 @@
         static_cast<duration::rep>(std::min(microseconds, max_age))};
 }
 
+void adopt_evacuations(
+    wire::state_answer const& answer,
+    std::function<void(evacuations)> const& adopt)
+{
+    evacuations told;
+    told.revision = answer.evacuated_revision();
+    for (std::string const& name : answer.evacuated())
+        told.data_centres.emplace(name);
+    adopt(std::move(told));
+}
+
 } // namespace
 
 state_exchange::state_exchange(
@@ -32,6 +45,8 @@
     versioned_route_table& routes,
     route_configuration_watcher& configuration,
     replica_watcher& replicas,
+    evacuation_register const& evacuated,
+    std::function<void(evacuations)> adopt,
     peer_registry const& peers,
     datagram_link& link,
     event_log& log,
@@ -41,6 +56,8 @@
     , routes_{routes}
     , configuration_{configuration}
     , replicas_{replicas}
+    , evacuated_{evacuated}
+    , adopt_{std::move(adopt)}
     , peers_{peers}
     , link_{link}
     , log_{log}
@@ -56,6 +73,7 @@
     out.configuration_as_of = routes_.confirmed_at();
     out.replicas_hash = replicas_.hash();
     out.replicas_as_of = replicas_.as_of();
+    out.evacuated = evacuated_.current();
     return out;
 }
 
@@ -84,6 +102,7 @@
     }
     if (sharing_.is_shared() && sharing_.is_reader())
         send_hints(now);
+    tell_evacuations(now);
     perform(sharing_.on_tick(now), now);
 }
 
@@ -140,6 +159,9 @@
     out.set_configuration_age_us(microseconds_of(answer.configuration_age));
     out.set_replicas_hash(answer.replicas_hash);
     out.set_replicas_age_us(microseconds_of(answer.replicas_age));
+    for (data_centre_id const& it : answer.evacuated.data_centres)
+        out.add_evacuated(it.str());
+    out.set_evacuated_revision(answer.evacuated.revision);
     link_.send(to, std::move(message));
 }
 
@@ -151,12 +173,34 @@
         return;
     hinted_version_ = own.configuration_version;
     hinted_hash_ = own.replicas_hash;
+    send_to_all(own, now);
+}
+
+void state_exchange::send_to_all(known_state const& own, time_point now)
+{
     for (auto const& [name, to] : peers_.peers(role_))
         send_answer(to, state_sharing::answer_of(own, 0, now));
 }
 
+// Entries that are cut off from the store learn evacuations only from others,
+// and datagrams are lost, so they are repeated. Entries that don't read from
+// the store leave that to those that do.
+void state_exchange::tell_evacuations(time_point now)
+{
+    std::set<data_centre_id> const& current = evacuated_.current().data_centres;
+    bool const changed = current != told_evacuated_;
+    bool const due =
+        !current.empty() && now - evacuations_told_at_ >= evacuations_interval;
+    if (!sharing_.is_reader() || (!changed && !due))
+        return;
+    told_evacuated_ = current;
+    evacuations_told_at_ = now;
+    send_to_all(known(), now);
+}
+
 void state_exchange::on_answer(wire::state_answer const& answer, time_point now)
 {
+    adopt_evacuations(answer, adopt_);
     if (answer.nonce() == 0)
     {
         known_state const own = known();
@@ -170,7 +214,8 @@
         answer.configuration_version(),
         age_of(answer.configuration_age_us()),
         answer.replicas_hash(),
-        age_of(answer.replicas_age_us())};
+        age_of(answer.replicas_age_us()),
+        {}};
     perform(sharing_.on_answer(decoded, known(), now), now);
 }
 
--- a/src/daemon/state_exchange.hpp
+++ b/src/daemon/state_exchange.hpp
@@ -3,6 +3,7 @@
 #include <hornbeamweir/peers/datagram_link.hpp>
 #include <hornbeamweir/peers/peer_registry.hpp>
 #include <hornbeamweir/peers/state_sharing.hpp>
+#include <hornbeamweir/replicas/evacuation_register.hpp>
 #include <hornbeamweir/replicas/replica_watcher.hpp>
 #include <hornbeamweir/routes/route_configuration_watcher.hpp>
 #include <hornbeamweir/routes/versioned_route_table.hpp>
@@ -22,6 +23,8 @@
         versioned_route_table& routes,
         route_configuration_watcher& configuration,
         replica_watcher& replicas,
+        evacuation_register const& evacuated,
+        std::function<void(evacuations)> adopt,
         peer_registry const& peers,
         datagram_link& link,
         event_log& log,
@@ -41,12 +44,18 @@
     send_answer(datagram_link::endpoint const& to, state_answer const& answer);
     /// Tells the other entries that the state has changed.
     void send_hints(time_point now);
+    void send_to_all(known_state const& own, time_point now);
+    /// Tells the other entries which data centres are out of service, again
+    /// and again while any is.
+    void tell_evacuations(time_point now);
 
     state_sharing sharing_;
     std::string role_;
     versioned_route_table& routes_;
     route_configuration_watcher& configuration_;
     replica_watcher& replicas_;
+    evacuation_register const& evacuated_;
+    std::function<void(evacuations)> adopt_;
     peer_registry const& peers_;
     datagram_link& link_;
     event_log& log_;
@@ -54,6 +63,8 @@
     time_point peers_set_at_{};
     std::uint64_t hinted_version_ = 0;
     std::uint64_t hinted_hash_ = 0;
+    std::set<data_centre_id> told_evacuated_;
+    time_point evacuations_told_at_{};
 };
 
 } // namespace hornbeamweir
--- a/src/peers/state_sharing.cpp
+++ b/src/peers/state_sharing.cpp
@@ -109,7 +109,8 @@
         own.configuration_version,
         now - own.configuration_as_of,
         own.replicas_hash,
-        now - own.replicas_as_of};
+        now - own.replicas_as_of,
+        own.evacuated};
 }
 
 } // namespace hornbeamweir
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -225,7 +225,9 @@
         it,
         result_code::no_backend_server,
         execution_state::not_run,
-        "no replica is usable",
+        directory_.is_evacuated(it->second.service)
+            ? "all replicas are in evacuated data centres"
+            : "no replica is usable",
         rejection_reason::outage,
         now,
         out);
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -119,7 +119,8 @@
 }
 
 // A group that has lost a rank re-forms within 1 s to 2 s, so requests wait for
-// it at first; in a longer outage they are rejected at once with a Retry-After.
+// it at first; in a longer outage, or if operators have taken all replicas out
+// of service, they are rejected at once with a Retry-After.
 std::optional<duration>
 relay_core::outage_wait(request_state const& request, time_point now)
 {
@@ -131,6 +132,8 @@
     }
     if (!state.outage_since)
         state.outage_since = now;
+    if (directory_.is_evacuated(request.service))
+        return duration::zero();
     return std::min(
         {*state.outage_since + max_outage_queueing - now,
          max_outage_wait,
--- a/src/replicas/replica_directory.cpp
+++ b/src/replicas/replica_directory.cpp
@@ -60,6 +60,7 @@
 void replica_directory::find_usable()
 {
     usable_.clear();
+    evacuated_services_.clear();
     newest_at_.clear();
     for (auto const& [id, it] : replicas_)
     {
@@ -72,11 +73,35 @@
         bool const is_superseded =
             newest_at_[it.address]->registration_revision >
             it.registration_revision;
-        if (!it.draining && !misdirected_.contains(id) && !is_superseded)
+        if (it.draining || misdirected_.contains(id) || is_superseded)
+            continue;
+        if (evacuated_.contains(it.data_centre))
+            evacuated_services_.insert(it.service);
+        else
             usable_[it.service].push_back(&it);
     }
 }
 
+void replica_directory::set_evacuated(std::set<data_centre_id> data_centres)
+{
+    evacuated_ = std::move(data_centres);
+    find_usable();
+}
+
+bool replica_directory::is_evacuated(service_name const& service) const
+{
+    return evacuated_services_.contains(service) && usable(service).empty();
+}
+
+std::map<data_centre_id, std::size_t>
+replica_directory::replicas_by_data_centre() const
+{
+    std::map<data_centre_id, std::size_t> out;
+    for (auto const& [id, it] : replicas_)
+        out[it.data_centre] += it.draining ? 0 : 1;
+    return out;
+}
+
 std::vector<replica const*> const&
 replica_directory::usable(service_name const& service) const
 {
--- a/src/routes/route_configuration_watcher.cpp
+++ b/src/routes/route_configuration_watcher.cpp
@@ -21,7 +21,8 @@
     event_log& log,
     clock_function clock,
     std::function<void(route_configuration, time_point)> updated,
-    std::function<void(time_point)> confirmed)
+    std::function<void(time_point)> confirmed,
+    std::function<void(evacuations)> evacuated)
     : platform_{store}
     , poller_{poller}
     , codec_{codec}
@@ -29,6 +30,7 @@
     , clock_{clock}
     , updated_{std::move(updated)}
     , confirmed_{std::move(confirmed)}
+    , evacuated_{std::move(evacuated)}
     , timer_{context}
     , poll_wait_{poll_wait}
 {
@@ -70,8 +72,8 @@
 {
     busy_ = true;
     time_point const requested_at = clock_();
-    platform_.read(
-        codec_.configuration_key(),
+    platform_.read_prefix(
+        codec_.operator_prefix(),
         [this, requested_at, weak = std::weak_ptr{alive_}](
             result<range_reply> const& reply)
         {
@@ -90,13 +92,21 @@
         return;
     }
     log_recovery();
+    revision_ = reply->revision;
+    evacuated_data_centres_.clear();
+    for (auto const& [key, stored] : reply->values)
+    {
+        if (std::optional<data_centre_id> const found =
+                codec_.evacuated_data_centre(key))
+            evacuated_data_centres_.insert(*found);
+    }
+    report_evacuations();
     auto const it = reply->values.find(codec_.configuration_key());
     if (it == reply->values.end())
     {
         schedule_read(retry_delay);
         return;
     }
-    revision_ = reply->revision;
     on_configuration(it->second.value, requested_at);
     poll();
 }
@@ -108,7 +118,7 @@
         return;
     time_point const requested_at = clock_();
     poller_.poll_changes(
-        codec_.configuration_key(),
+        codec_.operator_prefix(),
         revision_,
         poll_wait_,
         [this, requested_at, wait = poll_wait_, weak = std::weak_ptr{alive_}](
@@ -120,8 +130,8 @@
 }
 
 // A call that returns no changes after the full wait confirms that no newer
-// configuration existed when the wait ended. After a shorter wait this is
-// certain only for the time of the call.
+// configuration existed when the wait ended. After a shorter wait, or with
+// changes to other keys, this is certain only for the time of the call.
 void route_configuration_watcher::on_changes(
     result<change_batch> const& batch, time_point requested_at, duration wait)
 {
@@ -135,23 +145,47 @@
         return;
     }
     revision_ = std::max(revision_, batch->revision);
-    if (batch->events.empty())
+    bool configuration_changed = false;
+    for (watch_event const& it : batch->events)
+        configuration_changed =
+            on_change(it, requested_at) || configuration_changed;
+    report_evacuations();
+    if (!configuration_changed)
     {
         duration const waited = clock_() - requested_at;
-        bool const waited_in_full = waited >= wait;
+        bool const waited_in_full = waited >= wait && batch->events.empty();
         confirmed_(waited_in_full ? requested_at + wait : requested_at);
-        if (!waited_in_full)
+        if (!waited_in_full && batch->events.empty())
         {
             schedule_read(retry_delay);
             return;
         }
     }
-    for (watch_event const& it : batch->events)
+    poll();
+}
+
+bool route_configuration_watcher::on_change(
+    watch_event const& change, time_point as_of)
+{
+    if (std::optional<data_centre_id> const found =
+            codec_.evacuated_data_centre(change.key))
     {
-        if (it.key == codec_.configuration_key() && it.value)
-            on_configuration(it.value->value, requested_at);
+        if (change.value)
+            evacuated_data_centres_.insert(*found);
+        else
+            evacuated_data_centres_.erase(*found);
+        return false;
     }
-    poll();
+    bool const is_configuration =
+        change.key == codec_.configuration_key() && change.value;
+    if (is_configuration)
+        on_configuration(change.value->value, as_of);
+    return is_configuration;
+}
+
+void route_configuration_watcher::report_evacuations()
+{
+    evacuated_({evacuated_data_centres_, revision_});
 }
 
 void route_configuration_watcher::on_configuration(
