--- a/include/hornbeamweir/relay/relay_request.hpp
+++ b/include/hornbeamweir/relay/relay_request.hpp
@@ -74,6 +74,8 @@
     std::optional<duration> retry_after;
     /// Requests per second that the replica takes from all entries together.
     std::optional<double> max_requests_per_second;
+    /// Time for which the replica is still cold; 0 if it names none.
+    duration cold_remaining{};
     header_list headers;
 
     [[nodiscard]] friend bool operator==(
--- a/include/hornbeamweir/replicas/replica.hpp
+++ b/include/hornbeamweir/replicas/replica.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hornbeamweir/core/identifier.hpp>
+#include <hornbeamweir/core/time.hpp>
 #include <hornbeamweir/routes/route.hpp>
 
 #include <cstdint>
@@ -25,9 +26,21 @@
     std::int64_t registration_revision = 0;
     /// Whether it has announced that it is shutting down.
     bool draining = false;
+    /// Store revision at which the registration was last renewed.
+    std::int64_t modify_revision = 0;
+    /// Time for which it was still cold when it renewed; 0 if it was not.
+    duration cold_remaining{};
 
-    [[nodiscard]] friend bool
-    operator==(replica const&, replica const&) = default;
+    /// \remarks Ignores modify_revision and cold_remaining, which change with
+    /// each renewal.
+    [[nodiscard]] friend bool operator==(replica const& a, replica const& b)
+    {
+        return a.id == b.id && a.service == b.service &&
+               a.address == b.address && a.data_centre == b.data_centre &&
+               a.slots == b.slots &&
+               a.registration_revision == b.registration_revision &&
+               a.draining == b.draining;
+    }
 };
 
 } // namespace hornbeamweir
--- a/include/hornbeamweir/routes/route_configuration.hpp
+++ b/include/hornbeamweir/routes/route_configuration.hpp
@@ -17,6 +17,11 @@
     /// Maximum number of connections of all callers to a replica.
     std::uint32_t max_connections = 0;
     std::optional<engine_profile> engine;
+    /// Time for which a replica is cold after its start.
+    duration cold_start{};
+    /// Requests per second of all entries that a cold replica tolerates; 0 for
+    /// no limit.
+    double cold_requests_per_second = 0;
 
     [[nodiscard]] friend bool
     operator==(service_profile const&, service_profile const&) = default;
--- a/src/replicas/replica_watcher.cpp
+++ b/src/replicas/replica_watcher.cpp
@@ -24,7 +24,8 @@
               it.data_centre.str(),
               std::to_string(it.slots),
               std::to_string(it.registration_revision),
-              std::to_string(it.draining ? 1 : 0)})
+              std::to_string(it.draining ? 1 : 0),
+              std::to_string(it.cold_remaining > duration::zero() ? 1 : 0)})
             text += field + '\n';
     }
     return stable_hash(text);
@@ -133,6 +134,7 @@
         if (decoded)
         {
             decoded->registration_revision = stored.create_revision;
+            decoded->modify_revision = stored.modify_revision;
             out.emplace(decoded->id, std::move(*decoded));
             continue;
         }
