Limit the requests to cold replicas

All entries prefer replicas that have just started or returned with their data centre, as they are empty, and cold ones crash under that load.

cold_pacing, owned by relay_core, tells the rate limits which replicas of services with a cold rate are cold, and which entries share the rate: those heard in the last 20 s and those registered. Load reports pass on what responses have said. Each change is logged and counted. Services without a cold rate are unaffected.

test-relay "replicas of a data centre that become cold at once*": five entries with 2,000 requests per second keep 6 cold replicas within 44 in any second, reject nothing, and use them again afterwards; without a rate the bound is exceeded.

--- a/include/hornbeamweir/peers/peer_registry.hpp
+++ b/include/hornbeamweir/peers/peer_registry.hpp
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 
 namespace hornbeamweir
 {
@@ -48,6 +49,9 @@
     [[nodiscard]] std::map<process_name, endpoint> const&
     peers(std::string const& role) const;
 
+    /// \returns The names of the known processes of a role, except this one.
+    [[nodiscard]] std::set<process_name> names(std::string const& role) const;
+
     /// \brief Lease to which this process's keys are bound; 0 before it is
     /// granted.
     [[nodiscard]] std::int64_t lease() const noexcept { return lease_; }
--- a/include/hornbeamweir/peers/rate_messages.hpp
+++ b/include/hornbeamweir/peers/rate_messages.hpp
@@ -18,4 +18,13 @@
 [[nodiscard]] relay::replica_rate_limits::observations
 decode_rates(wire::entry_load const& message, time_point now);
 
+/// \brief Adds the times for which replicas stay cold; the longest of them if
+/// there are too many for a datagram.
+void encode_cold(
+    std::map<backend_server_id, duration> const& remaining,
+    wire::entry_load& out);
+
+[[nodiscard]] std::map<backend_server_id, duration>
+decode_cold(wire::entry_load const& message);
+
 } // namespace hornbeamweir
--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hornbeamweir/admission/fair_queue.hpp>
+#include <hornbeamweir/relay/cold_pacing.hpp>
 #include <hornbeamweir/relay/event_splitter.hpp>
 #include <hornbeamweir/relay/relay_action.hpp>
 #include <hornbeamweir/relay/replica_chooser.hpp>
@@ -71,6 +72,7 @@
     {
         return rate_limits_;
     }
+    [[nodiscard]] cold_pacing& cold() noexcept { return cold_; }
     [[nodiscard]] request_quarantine& quarantine() noexcept
     {
         return quarantine_;
@@ -378,6 +380,7 @@
     replica_exclusions exclusions_;
     request_quarantine quarantine_;
     replica_rate_limits rate_limits_;
+    cold_pacing cold_{routes_, loads_, rate_limits_, log_, metrics_};
     time_point rates_shared_at_{};
     replica_chooser chooser_;
     retry_after_planner retry_after_;
--- a/include/hornbeamweir/relay/replica_load_tracker.hpp
+++ b/include/hornbeamweir/relay/replica_load_tracker.hpp
@@ -5,6 +5,7 @@
 #include <hornbeamweir/replicas/replica.hpp>
 
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -78,6 +79,9 @@
     [[nodiscard]] rank_status
     status_of(backend_server_id const& id, time_point now) const;
 
+    /// \returns The other entries that have reported within the last 20 s.
+    [[nodiscard]] std::set<process_name> known_peers(time_point now) const;
+
     /// \returns The number of entries with recent reports, including this one.
     [[nodiscard]] std::size_t entry_count(time_point now) const;
 
--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -115,6 +115,8 @@
         , state_{settings_.name, std::string{entry_role}, core_.routes(), routes_, replicas_, registry_, link_, log_, metrics_}
         , crashes_{settings_.name, std::string{entry_role}, core_.quarantine(), registry_, link_, random_source{random_.next()}}
     {
+        core_.cold().set_registered_entries(
+            [this] { return registry_.names(std::string{entry_role}); });
     }
 
     void run()
@@ -185,6 +187,7 @@
 
     void apply_replicas(replica_watcher::snapshot snapshot)
     {
+        core_.cold().on_replicas(snapshot, suspend_aware_now());
         for (replica_directory::change const& it :
              core_.replicas().update(std::move(snapshot), suspend_aware_now()))
         {
@@ -212,6 +215,7 @@
             load.set_in_flight(n);
         }
         encode_rates(core_.rate_limits().seen(), now, *message.mutable_load());
+        encode_cold(core_.cold().seen(now), *message.mutable_load());
         for (auto const& [name, to] : registry_.peers(std::string{entry_role}))
             link_.send(to, message);
     }
@@ -231,6 +235,9 @@
             core_.loads().on_peer_load(sender, std::move(loads), now);
             core_.rate_limits().on_peer_report(
                 sender, decode_rates(message.load(), now));
+            for (auto const& [id, remaining] : decode_cold(message.load()))
+                core_.cold().on_reported(
+                    id, remaining, cold_source::peer_report, now);
         }
         else if (message.has_crashes())
             exchanges_.apply(core_.on_crash_report(
--- a/src/peers/peer_registry.cpp
+++ b/src/peers/peer_registry.cpp
@@ -176,4 +176,12 @@
     return it == peers_.end() ? empty : it->second;
 }
 
+std::set<process_name> peer_registry::names(std::string const& role) const
+{
+    std::set<process_name> out;
+    for (auto const& [name, address] : peers(role))
+        out.insert(name);
+    return out;
+}
+
 } // namespace hornbeamweir
--- a/src/peers/rate_messages.cpp
+++ b/src/peers/rate_messages.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <vector>
 
 namespace hornbeamweir
 {
@@ -44,4 +46,47 @@
     return out;
 }
 
+// The others that a response names cold are told by the registry, or by their
+// own responses.
+void encode_cold(
+    std::map<backend_server_id, duration> const& remaining,
+    wire::entry_load& out)
+{
+    constexpr std::size_t max_told = 64;
+    std::vector<std::pair<duration, backend_server_id>> longest;
+    longest.reserve(remaining.size());
+    for (auto const& [id, time] : remaining)
+        longest.emplace_back(time, id);
+    std::size_t const told = std::min(longest.size(), max_told);
+    std::partial_sort(
+        longest.begin(),
+        longest.begin() + static_cast<std::ptrdiff_t>(told),
+        longest.end(),
+        std::greater<>{});
+    longest.resize(told);
+    for (auto const& [time, id] : longest)
+    {
+        wire::replica_cold& cold = *out.add_cold();
+        cold.set_replica(id.str());
+        cold.set_remaining_us(static_cast<std::uint64_t>(time.count()));
+    }
+}
+
+std::map<backend_server_id, duration>
+decode_cold(wire::entry_load const& message)
+{
+    constexpr std::uint64_t max_us = std::uint64_t{3600} * 1'000'000;
+    std::map<backend_server_id, duration> out;
+    for (wire::replica_cold const& it : message.cold())
+    {
+        if (!it.replica().empty())
+        {
+            out[backend_server_id{it.replica()}] =
+                duration{static_cast<duration::rep>(
+                    std::min(it.remaining_us(), max_us))};
+        }
+    }
+    return out;
+}
+
 } // namespace hornbeamweir
--- a/src/relay/relay_rates.cpp
+++ b/src/relay/relay_rates.cpp
@@ -20,6 +20,11 @@
     constexpr unsigned misdirected = 421;
     if (head.status == misdirected)
         return;
+    if (head.cold_remaining > duration::zero())
+    {
+        cold_.on_reported(
+            request.target, head.cold_remaining, cold_source::response, now);
+    }
     bool const changed = rate_limits_.on_answer(
         request.target,
         head.max_requests_per_second,
@@ -41,6 +46,7 @@
 
 void relay_core::share_rates(time_point now)
 {
+    cold_.on_tick(settings_.name, now);
     if (rate_limits_.empty() || now - rates_shared_at_ < share_interval)
         return;
     rates_shared_at_ = now;
@@ -89,7 +95,7 @@
             it,
             result_code::replicas_rate_limited,
             execution_state::not_run,
-            "this entry has no part of the rates that all replicas have named",
+            "this entry has no part of the rates that the replicas tolerate",
             rejection_reason::try_another_entry,
             now,
             out);
@@ -97,7 +103,7 @@
     }
     send_error response;
     response.code = result_code::replicas_rate_limited;
-    response.detail = "all replicas have named a rate, which is used up";
+    response.detail = "the rates that the replicas tolerate are used up";
     response.retry_after = retry_after_.plan_after(*wait);
     send_rejection(it, std::move(response), now, out);
     return true;
--- a/src/relay/replica_load_tracker.cpp
+++ b/src/relay/replica_load_tracker.cpp
@@ -3,6 +3,15 @@
 namespace hornbeamweir
 {
 
+namespace
+{
+
+/// Peers count for longer than their reports are valid: a peer that is
+/// partitioned from this entry may still send requests to the same replicas.
+constexpr duration peer_retention = std::chrono::seconds{20};
+
+} // namespace
+
 void replica_load_tracker::on_attempt_started(backend_server_id const& id)
 {
     ++local_[id];
@@ -94,18 +103,20 @@
     return it->second;
 }
 
-// Peers count for longer than their reports are valid: a peer that is
-// partitioned from this entry may still send requests to the same replicas.
-std::size_t replica_load_tracker::entry_count(time_point now) const
+std::set<process_name> replica_load_tracker::known_peers(time_point now) const
 {
-    constexpr duration peer_retention = std::chrono::seconds{20};
-    std::size_t count = 1;
+    std::set<process_name> out;
     for (auto const& [name, peer] : peers_)
     {
         if (now - peer.received_at <= peer_retention)
-            ++count;
+            out.insert(name);
     }
-    return count;
+    return out;
+}
+
+std::size_t replica_load_tracker::entry_count(time_point now) const
+{
+    return 1 + known_peers(now).size();
 }
 
 namespace
