--- a/src/relay/replica_load_tracker.cpp
+++ b/src/relay/replica_load_tracker.cpp
@@ -116,7 +116,13 @@
 
 std::size_t replica_load_tracker::entry_count(time_point now) const
 {
-    return 1 + known_peers(now).size();
+    std::size_t count = 1;
+    for (auto const& [name, peer] : peers_)
+    {
+        if (now - peer.received_at <= peer_retention)
+            ++count;
+    }
+    return count;
 }
 
 namespace
