Add data centres to the configuration

Operators could only take out backend servers one by one. A data centre is now a configured object with `evacuated` (default false), which release notes add, change and withdraw. A note that evacuates a data centre which no backend server names is rejected and lists the known ones, as a misspelt id would evacuate nothing. Parts stored without this kind are still read.

--- a/include/hornbeamweir/configuration/configuration.hpp
+++ b/include/hornbeamweir/configuration/configuration.hpp
@@ -39,6 +39,10 @@
     [[nodiscard]] customer const* find(customer_id const& id) const;
     [[nodiscard]] backend_server const* find(backend_server_id const& id) const;
     [[nodiscard]] placement_rule const* find(placement_rule_id const& id) const;
+    [[nodiscard]] data_centre const* find(data_centre_id const& id) const;
+
+    /// \brief Whether a data centre was taken out of service.
+    [[nodiscard]] bool is_evacuated(data_centre_id const& id) const;
 
     /// \brief Calls visit with each part that this process holds.
     template <typename Visit>
--- a/include/hornbeamweir/configuration/configuration_part.hpp
+++ b/include/hornbeamweir/configuration/configuration_part.hpp
@@ -24,6 +24,7 @@
     std::map<customer_id, customer> customers;
     std::map<backend_server_id, backend_server> backend_servers;
     std::map<placement_rule_id, placement_rule> placement_rules;
+    std::map<data_centre_id, data_centre> data_centres;
 
     [[nodiscard]] friend bool
     operator==(configuration_part const&, configuration_part const&) = default;
@@ -38,6 +39,7 @@
     visit("customers", part.customers);
     visit("backend_servers", part.backend_servers);
     visit("placement_rules", part.placement_rules);
+    visit("data_centres", part.data_centres);
 }
 
 /// \brief Encodes a part as canonical JSON: equal parts give equal bytes.
--- a/include/hornbeamweir/configuration/object_fields.hpp
+++ b/include/hornbeamweir/configuration/object_fields.hpp
@@ -72,4 +72,11 @@
     visitor.strings("data_centres", object.data_centres, presence::optional);
 }
 
+template <typename Visitor>
+void visit_fields(Visitor& visitor, data_centre& object)
+{
+    visitor.id("id", object.id, presence::required);
+    visitor.flag("evacuated", object.evacuated, presence::optional);
+}
+
 } // namespace hornbeamweir
--- a/include/hornbeamweir/configuration/object_json.hpp
+++ b/include/hornbeamweir/configuration/object_json.hpp
@@ -14,6 +14,7 @@
 [[nodiscard]] boost::json::object to_json(customer const& object);
 [[nodiscard]] boost::json::object to_json(backend_server const& object);
 [[nodiscard]] boost::json::object to_json(placement_rule const& object);
+[[nodiscard]] boost::json::object to_json(data_centre const& object);
 
 /// \brief Reads the fields that are present in a JSON value into an object.
 /// \returns part_corrupt if a field has the wrong type or is out of range; the
@@ -26,5 +27,7 @@
 from_json(boost::json::value const& value, backend_server& object);
 [[nodiscard]] result<void>
 from_json(boost::json::value const& value, placement_rule& object);
+[[nodiscard]] result<void>
+from_json(boost::json::value const& value, data_centre& object);
 
 } // namespace hornbeamweir
--- a/include/hornbeamweir/configuration/objects.hpp
+++ b/include/hornbeamweir/configuration/objects.hpp
@@ -96,6 +96,19 @@
     operator==(backend_server const&, backend_server const&) = default;
 };
 
+/// \brief Whether a data centre is in service.
+/// \remarks A data centre without an object is in service.
+struct data_centre
+{
+    data_centre_id id;
+    /// Whether its backend servers get no new requests. Its ranks still take
+    /// part in the steps of their groups.
+    bool evacuated = false;
+
+    [[nodiscard]] friend bool
+    operator==(data_centre const&, data_centre const&) = default;
+};
+
 /// \brief Restricts where a customer's traffic for a model or service may go.
 /// \remarks An empty customer, model or service matches all; empty groups or
 /// data_centres allow all.
--- a/src/configuration/configuration.cpp
+++ b/src/configuration/configuration.cpp
@@ -61,6 +61,18 @@
     return part == nullptr ? nullptr : find_in(part->placement_rules, id);
 }
 
+data_centre const* configuration::find(data_centre_id const& id) const
+{
+    configuration_part const* const part = find_part(id.str());
+    return part == nullptr ? nullptr : find_in(part->data_centres, id);
+}
+
+bool configuration::is_evacuated(data_centre_id const& id) const
+{
+    data_centre const* const found = find(id);
+    return found != nullptr && found->evacuated;
+}
+
 configuration_part configuration::objects() const
 {
     configuration_part all;
@@ -74,6 +86,8 @@
                 part.backend_servers.begin(), part.backend_servers.end());
             all.placement_rules.insert(
                 part.placement_rules.begin(), part.placement_rules.end());
+            all.data_centres.insert(
+                part.data_centres.begin(), part.data_centres.end());
         });
     return all;
 }
@@ -99,6 +113,10 @@
          it != objects.placement_rules.end();
          ++it)
         parts[part_of(it->first.str())].placement_rules.insert(*it);
+    for (auto it = objects.data_centres.begin();
+         it != objects.data_centres.end();
+         ++it)
+        parts[part_of(it->first.str())].data_centres.insert(*it);
 
     encoded_configuration encoded;
     manifest list{revision, note_id, {}};
--- a/src/configuration/configuration_part.cpp
+++ b/src/configuration/configuration_part.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+/// Parts stored by programs that did not know data centres lack this kind.
+constexpr std::string_view later_kind = "data_centres";
+
 template <typename Map>
 void read_kind(
     boost::json::object const& document,
@@ -19,6 +22,8 @@
     result<void>& outcome)
 {
     boost::json::value const* const list = document.if_contains(kind);
+    if (list == nullptr && kind == later_kind)
+        return;
     if (list == nullptr || !list->is_array())
     {
         outcome = failure(
--- a/src/configuration/note_effect.cpp
+++ b/src/configuration/note_effect.cpp
@@ -1,3 +1,4 @@
+#include <hornbeamweir/configuration/backend_capacity.hpp>
 #include <hornbeamweir/configuration/object_json.hpp>
 #include <hornbeamweir/configuration/release_note.hpp>
 
@@ -75,6 +76,9 @@
         for (auto it = all.model_groups.begin(); it != all.model_groups.end();
              ++it)
             check_group(it->second);
+        for (auto it = all.data_centres.begin(); it != all.data_centres.end();
+             ++it)
+            check_data_centre(it->second);
     }
 
     [[nodiscard]] tl::expected<note_effect, std::vector<error>> take_result()
@@ -183,6 +187,27 @@
         }
     }
 
+    // Without this check a misspelt id would evacuate nothing. Only the note's
+    // own objects are checked, so that the last backend servers of an evacuated
+    // data centre can be withdrawn and replaced.
+    void check_data_centre(data_centre const& object)
+    {
+        bool const of_note = note_.added.data_centres.contains(object.id) ||
+                             note_.changed.data_centres.contains(object.id);
+        if (!object.evacuated || !of_note)
+            return;
+        std::set<data_centre_id> const known =
+            data_centres_of_servers(effect_.objects);
+        if (!known.contains(object.id))
+        {
+            fail(
+                "data_centres",
+                object.id.str(),
+                "is evacuated but named by no backend server, expected " +
+                    describe(known));
+        }
+    }
+
     void fail(std::string_view kind, std::string const& id, std::string reason)
     {
         errors_.push_back(
@@ -219,6 +244,7 @@
     note_application application{note, base};
     configuration_part& objects = application.objects();
     application.withdraw("placement_rules", objects.placement_rules);
+    application.withdraw("data_centres", objects.data_centres);
     application.withdraw("backend_servers", objects.backend_servers);
     application.withdraw("customers", objects.customers);
     application.withdraw("model_groups", objects.model_groups);
@@ -229,6 +255,8 @@
         "backend_servers", note.added.backend_servers, objects.backend_servers);
     application.add(
         "placement_rules", note.added.placement_rules, objects.placement_rules);
+    application.add(
+        "data_centres", note.added.data_centres, objects.data_centres);
     application.change(
         "model_groups", note.changed.model_groups, objects.model_groups);
     application.change("customers", note.changed.customers, objects.customers);
@@ -240,6 +268,8 @@
         "placement_rules",
         note.changed.placement_rules,
         objects.placement_rules);
+    application.change(
+        "data_centres", note.changed.data_centres, objects.data_centres);
     application.check_references();
     return application.take_result();
 }
--- a/src/configuration/object_json.cpp
+++ b/src/configuration/object_json.cpp
@@ -214,6 +214,10 @@
 {
     return write(object);
 }
+boost::json::object to_json(data_centre const& object)
+{
+    return write(object);
+}
 
 result<void> from_json(boost::json::value const& value, model_group& object)
 {
@@ -231,5 +235,9 @@
 {
     return read(value, object);
 }
+result<void> from_json(boost::json::value const& value, data_centre& object)
+{
+    return read(value, object);
+}
 
 } // namespace hornbeamweir
--- a/src/configuration/release_note.cpp
+++ b/src/configuration/release_note.cpp
@@ -76,6 +76,7 @@
 
 void check_value(yaml_object&, model_group const&) {}
 void check_value(yaml_object&, placement_rule const&) {}
+void check_value(yaml_object&, data_centre const&) {}
 
 void check_value(yaml_object& in, customer const& object)
 {
--- a/test/configuration/release_note_test.cpp
+++ b/test/configuration/release_note_test.cpp
@@ -31,7 +31,7 @@
     "  backend_servers:\n"
     "    - {id: b, kind: rank, group: g, rank: 1, vm: v, data_centre: d, "
     "agent_address: '127.0.0.1:1', agent_key: '" +
-    key + "'}\n";
+    key + "'}\n  data_centres: [{id: d}]\n";
 
 configuration_part base()
 {
@@ -67,6 +67,12 @@
          "change backend_servers b (draining: false -> true);"},
         {"changed: {customers: [{id: c, burst: 100}]}", "change customers c;"},
         {"withdrawn: {customers: [c]}", "withdraw customers c;"},
+        {"added: {data_centres: [{id: e}]}", "add data_centres e;"},
+        {"changed: {data_centres: [{id: d, evacuated: true}]}",
+         "change data_centres d (evacuated: false -> true);"},
+        {"changed: {data_centres: [{id: d, evacuated: false}]}",
+         "change data_centres d;"},
+        {"withdrawn: {data_centres: [d]}", "withdraw data_centres d;"},
         {"withdrawn: {backend_servers: [b], model_groups: [g]}",
          "withdraw backend_servers b;withdraw model_groups g;"},
     };
@@ -99,6 +105,15 @@
          "backend_servers \"b\" has rank 2, expected a rank below 2"},
         {"changed: {model_groups: [{id: g, slots_per_rank: 1}]}",
          "model_groups \"g\" has fewer slots than experts"},
+        {"added: {data_centres: [{id: e, evacuated: true}]}",
+         "data_centres \"e\" is evacuated but named by no backend server, "
+         "expected one of d"},
+        {"withdrawn: {backend_servers: [b]}\nchanged: {data_centres: [{id: d, "
+         "evacuated: true}]}",
+         "data_centres \"d\" is evacuated but named by no backend server, "
+         "expected a data centre of a backend server, but there are none"},
+        {"changed: {data_centres: [{id: e, evacuated: true}]}",
+         "data_centres \"e\" does not exist; use 'added'"},
         {"added: {placement_rules: [{id: r, groups: [h]}]}",
          "placement_rules \"r\" names the model group \"h\", which does not "
          "exist"},
@@ -130,6 +145,10 @@
          "    - {id: c, token_hash: " +
              hash + "}\n    - {id: c, token_hash: " + hash + "}\n",
          "n.yaml:6:12: added.customers[1].id: found a repeated id"},
+        {"note: n\nbase_revision: 0\nadded: {data_centres: [{id: d, evacuated: "
+         "1}]}\n",
+         "n.yaml:3:43: added.data_centres[0].evacuated: found \"1\", expected "
+         "true or false"},
         {"base_revision: 0\n", "n.yaml:1:1: note: found nothing"},
     };
     for (row const& it : rows)
@@ -141,3 +160,17 @@
         CHECK(to_string(note.error()).find(it.expected) != std::string::npos);
     }
 }
+
+// Guards against an upgrade that can't read the parts of the version before,
+// and against an object that is lost on the way to the entries.
+TEST_CASE("parts contain data centres, and older parts are read without them")
+{
+    configuration_part part;
+    part.data_centres[data_centre_id{"d"}] = {data_centre_id{"d"}, true};
+    CHECK(decode_part(encode_part(part)) == part);
+    std::string const older =
+        R"({"model_groups":[],"customers":[],"backend_servers":[],)"
+        R"("placement_rules":[]})";
+    CHECK(decode_part(older) == configuration_part{});
+    CHECK(!decode_part(R"({"data_centres":[]})"));
+}
