Send nothing to backend servers of evacuated data centres

Entries ignored `evacuated`. The index of candidates now omits backend servers of evacuated data centres, and a claim granted for one after it was evacuated moves to another choice. Attempts in progress there go on. Entries that connect to a subset (fleets above 128 backend servers) add enough backend servers in use, and keep agents with open attempts when a restored data centre changes the subset. Evacuated agents that fall silent no longer count towards a widespread silence.

--- a/include/hornbeamweir/entry/entry_core.hpp
+++ b/include/hornbeamweir/entry/entry_core.hpp
@@ -4,6 +4,7 @@
 #include <hornbeamweir/admission/overload_gate.hpp>
 #include <hornbeamweir/admission/share_exchange.hpp>
 #include <hornbeamweir/configuration/configuration_relay.hpp>
+#include <hornbeamweir/entry/capacity_monitor.hpp>
 #include <hornbeamweir/entry/decision_history.hpp>
 #include <hornbeamweir/entry/entry_action.hpp>
 #include <hornbeamweir/entry/request_intake.hpp>
@@ -109,6 +110,8 @@
     void respond_with_models(
         request_id const& id, http_request_message const& message);
     void admit(inbound_request request, time_point now);
+    /// Time after which a caller may return if no backend server is available.
+    [[nodiscard]] duration retry_after_no_backend();
     void submit_to_gate(request_id const& id, time_point now);
     [[nodiscard]] overload_gate& gate_of(inbound_request const& request);
     void dispatch_queued(overload_gate& gate, time_point now);
@@ -155,6 +158,12 @@
     void perform(configuration_relay_actions const& actions, time_point now);
     void activate(
         std::shared_ptr<configuration const> const& current, time_point now);
+    /// Selects the agents to connect to; keeps those with open attempts.
+    [[nodiscard]] std::set<backend_server_id>
+    select_agents(configuration const& current) const;
+    void reject_requests_without_backend(time_point now);
+    [[nodiscard]] bool
+    is_out_of_service(std::optional<backend_server_id> const& server) const;
     void ping_all(time_point now);
     [[nodiscard]] wire::envelope make_ping(std::uint64_t known_revision) const;
     [[nodiscard]] wire::envelope
@@ -183,6 +192,7 @@
     std::map<peer, std::uint64_t> entry_revisions_;
     agent_table agents_;
     candidate_finder candidates_;
+    capacity_monitor capacity_;
     claim_ledger ledger_;
     configuration_relay configuration_;
     retry_budget budget_;
--- a/include/hornbeamweir/entry/request_machine.hpp
+++ b/include/hornbeamweir/entry/request_machine.hpp
@@ -141,6 +141,11 @@
 
     [[nodiscard]] request_actions on_claimed(claim_outcome const& outcome);
 
+    /// \brief Handles a claim granted for a backend server that has been taken
+    /// out of service since it was chosen.
+    [[nodiscard]] request_actions
+    on_claimed_out_of_service(std::uint64_t fence);
+
     /// \brief Handles one frame of the response. Drops frames of another
     /// attempt, late frames and duplicates.
     /// \param budget_available Whether the retry budget allows another attempt.
@@ -165,6 +170,11 @@
     {
         return phase_ == phase::finished;
     }
+    /// \brief Whether the request waits for a backend server to be chosen.
+    [[nodiscard]] bool is_choosing() const noexcept
+    {
+        return phase_ == phase::choosing;
+    }
     /// \brief Backend server of the current or last attempt; empty before the
     /// first choice.
     [[nodiscard]] std::optional<backend_server_id> const&
--- a/include/hornbeamweir/membership/agent_table.hpp
+++ b/include/hornbeamweir/membership/agent_table.hpp
@@ -39,6 +39,8 @@
     /// Whether the configuration or the VM list marks the backend server as
     /// leaving.
     bool leave_ordered = false;
+    /// Whether the backend server's data centre is evacuated.
+    bool evacuated = false;
     /// Time of the first attempt sent to the agent while suspect, since the
     /// last heartbeat reply or the last abandonment.
     std::optional<time_point> first_attempt_while_suspect;
--- a/include/hornbeamweir/membership/backend_subset.hpp
+++ b/include/hornbeamweir/membership/backend_subset.hpp
@@ -39,7 +39,8 @@
 
     /// \brief Selects from all backend servers of a configuration.
     /// \returns All of them up to full_coverage_limit, or else the selection of
-    /// each target.
+    /// each target; it includes enough backend servers outside evacuated data
+    /// centres.
     [[nodiscard]] std::set<backend_server_id>
     select(configuration const& current) const;
 
--- a/include/hornbeamweir/routing/candidate_finder.hpp
+++ b/include/hornbeamweir/routing/candidate_finder.hpp
@@ -12,6 +12,7 @@
 {
 
 /// \brief Finds the backend servers that placement rules allow for a request.
+/// \remarks Backend servers of evacuated data centres are left out.
 class candidate_finder
 {
 public:
@@ -30,7 +31,8 @@
         agent_table const& agents,
         time_point now) const;
 
-    /// \brief Returns all configured backend servers of a model or service.
+    /// \brief Returns the configured backend servers of a model or service,
+    /// apart from those of evacuated data centres.
     /// \param target Name of the model or service.
     /// \returns Empty if the target is unknown.
     [[nodiscard]] std::vector<backend_server_id>
--- a/src/entry/entry_admission.cpp
+++ b/src/entry/entry_admission.cpp
@@ -30,6 +30,20 @@
     customer const* const customer_record =
         configuration_.current()->find(request.customer);
     shares_.on_request(customer_record->id, now);
+    // Such a request would only wait in the queue and use the customer's limit.
+    if (!capacity_.has_backend_server(request))
+    {
+        error const reason{
+            result_code::no_backend_server,
+            "all backend servers are out of service"};
+        log_outcome(request, reason, execution_state::not_run);
+        send_error(
+            request.id,
+            reason,
+            execution_state::not_run,
+            retry_after_no_backend());
+        return;
+    }
     tl::expected<void, admission_refusal> const admitted = admission_.admit(
         *customer_record,
         shares_.share(customer_record->id, now),
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -44,6 +44,7 @@
     , neighbours_{neighbours(settings_.identity.name, entries_)}
     , subset_{{}, settings_.identity.name, entries_}
     , agents_{heartbeat_budget::for_fleet(entries_.size(), neighbours_.size())}
+    , capacity_{log_, metrics_}
     , ledger_{make_ledger_limits(settings_.peers.size() + 1)}
     , configuration_{true}
     , history_{history_size}
@@ -283,7 +284,7 @@
     intake_.apply_configuration(current);
     candidates_.apply_configuration(current);
     connection_changes const changes =
-        agents_.apply_configuration(*current, subset_.select(*current));
+        agents_.apply_configuration(*current, select_agents(*current));
     for (backend_server_id const& id : changes.disconnect)
         actions_.emplace_back(disconnect_agent{agent_peer(id).id});
     for (backend_server const& server : changes.dial)
@@ -299,6 +300,8 @@
     log_.info(event{"configuration_in_force"}
                   .with("revision", current->revision())
                   .with("note", current->head().note_id));
+    capacity_.update(current->objects(), current->revision());
+    reject_requests_without_backend(now);
     ping_all(now);
 }
 
@@ -313,6 +316,10 @@
     out["note"] = head.note_id;
     out["newest_revision"] = configuration_.newest().revision;
     out["requests"] = live_.size();
+    boost::json::array evacuated;
+    for (data_centre_id const& id : capacity_.evacuated())
+        evacuated.emplace_back(id.str());
+    out["evacuated"] = std::move(evacuated);
     boost::json::array agents;
     for (auto it = agents_.all().begin(); it != agents_.all().end(); ++it)
     {
--- a/src/entry/entry_requests.cpp
+++ b/src/entry/entry_requests.cpp
@@ -18,6 +18,9 @@
 {
 
 constexpr duration unavailable_retry_after = std::chrono::seconds{2};
+/// Callers that were rejected together return over this time, so that they do
+/// not arrive together once backend servers are in use again.
+constexpr duration no_backend_retry_spread = std::chrono::seconds{4};
 
 bool is_temporary_error(result_code code) noexcept
 {
@@ -158,11 +161,20 @@
     actions_.emplace_back(respond_head{id, action.status, std::move(headers)});
 }
 
+duration entry_core::retry_after_no_backend()
+{
+    return unavailable_retry_after +
+           duration{static_cast<duration::rep>(random_.below(
+               static_cast<std::uint64_t>(no_backend_retry_spread.count())))};
+}
+
 void entry_core::fail(
     request_id const& id, live_request& live, fail_request const& action)
 {
     std::optional<duration> retry_after;
-    if (is_temporary_error(action.reason.code))
+    if (action.reason.code == result_code::no_backend_server)
+        retry_after = retry_after_no_backend();
+    else if (is_temporary_error(action.reason.code))
         retry_after = unavailable_retry_after;
     log_outcome(live.machine.request(), action.reason, action.state);
     send_error(id, action.reason, action.state, retry_after);
@@ -266,7 +278,15 @@
     history_.add(decision.id, ev.line());
     log_.info(ev);
     auto const it = live_.find(decision.id);
-    if (it != live_.end())
+    bool const out_of_service = it != live_.end() &&
+                                outcome.verdict == claim_verdict::granted &&
+                                is_out_of_service(it->second.machine.target());
+    if (out_of_service)
+        perform(
+            decision.id,
+            it->second.machine.on_claimed_out_of_service(outcome.fence),
+            now);
+    else if (it != live_.end())
         perform(decision.id, it->second.machine.on_claimed(outcome), now);
     else if (outcome.verdict == claim_verdict::granted)
         perform(ledger_.release(decision.claim, outcome.fence, now), now);
--- a/src/entry/request_machine.cpp
+++ b/src/entry/request_machine.cpp
@@ -106,6 +106,18 @@
         execution_state::not_run);
 }
 
+// Nothing was sent under the claim, so it moves to the next choice, or is
+// released if there is none.
+request_actions request_machine::on_claimed_out_of_service(std::uint64_t fence)
+{
+    if (phase_ != phase::claiming)
+        return {};
+    fence_ = fence;
+    target_.reset();
+    phase_ = phase::choosing;
+    return {choose_backend{excluded_}};
+}
+
 request_actions request_machine::begin_attempt(bool replay_only)
 {
     ++attempt_;
--- a/src/membership/agent_table.cpp
+++ b/src/membership/agent_table.cpp
@@ -53,6 +53,7 @@
                 else
                     changes.dial.push_back(server);
                 record.server = server;
+                record.evacuated = current.is_evacuated(server.data_centre);
                 update_leave_order(record);
             }
         });
@@ -145,7 +146,9 @@
     for (auto it = agents_.begin(); it != agents_.end(); ++it)
     {
         agent_record const& record = it->second;
-        if (record.incarnation == 0 ||
+        // A data centre is often evacuated before it is switched off, which
+        // says nothing about the network of this entry.
+        if (record.incarnation == 0 || record.evacuated ||
             record.observed_state == member_state::leaving)
             continue;
         if (time_since_heartbeat(record, now) > schedule_.suspect_after())
--- a/src/membership/backend_subset.cpp
+++ b/src/membership/backend_subset.cpp
@@ -90,6 +90,7 @@
 backend_subset::select(configuration const& current) const
 {
     std::map<std::string, std::vector<backend_server_id>> by_target;
+    std::map<std::string, std::vector<backend_server_id>> in_use_by_target;
     std::set<backend_server_id> all;
     current.for_each_part(
         [&](configuration_part const& part)
@@ -105,16 +106,25 @@
                         ? "service/" + server.service
                         : "model/" + (group != nullptr ? group->model : "");
                 by_target[target].push_back(server.id);
+                if (!current.is_evacuated(server.data_centre))
+                    in_use_by_target[target].push_back(server.id);
                 all.insert(server.id);
             }
         });
     if (all.size() <= settings_.full_coverage_limit)
         return all;
+    // Connections into evacuated data centres are kept for the attempts in
+    // progress there; without the second selection an entry whose subset lies
+    // in such data centres would have too few backend servers, or none.
     std::set<backend_server_id> chosen;
-    for (auto it = by_target.begin(); it != by_target.end(); ++it)
+    for (std::map<std::string, std::vector<backend_server_id>> const* const
+             index : {&by_target, &in_use_by_target})
     {
-        for (backend_server_id& id : select_from(it->second))
-            chosen.insert(std::move(id));
+        for (auto it = index->begin(); it != index->end(); ++it)
+        {
+            for (backend_server_id& id : select_from(it->second))
+                chosen.insert(std::move(id));
+        }
     }
     return chosen;
 }
--- a/src/routing/candidate_finder.cpp
+++ b/src/routing/candidate_finder.cpp
@@ -47,6 +47,8 @@
                  ++it)
             {
                 backend_server const& server = it->second;
+                if (configuration_->is_evacuated(server.data_centre))
+                    continue;
                 model_group const* const group =
                     configuration_->find(server.group);
                 if (server.kind == backend_kind::service)
