Add the commands evacuate and restore

Taking a data centre out needed a handwritten release note. `hornbeamweir evacuate` and `restore` apply one that adds or changes the data centre's object; a repeat says so and changes nothing, and an unknown data centre is rejected with the known ones. `plan` and both commands show backend servers in use before and after by model and service, and warn if none is left or all data centres would be out of service. `status` lists evacuated data centres.

--- a/include/hornbeamweir/client/entry_status.hpp
+++ b/include/hornbeamweir/client/entry_status.hpp
@@ -40,6 +40,8 @@
         std::uint64_t in_flight = 0;
     };
     std::vector<agent> agents;
+    /// Data centres that the entry treats as evacuated.
+    std::vector<std::string> evacuated;
     /// Why there is no status; empty if the entry could be reached.
     std::string problem;
 };
--- a/src/client/entry_status.cpp
+++ b/src/client/entry_status.cpp
@@ -37,6 +37,21 @@
                                             : std::string{};
 }
 
+std::vector<std::string>
+texts_in(boost::json::object const& object, std::string_view key)
+{
+    std::vector<std::string> texts;
+    boost::json::value const* const list = object.if_contains(key);
+    if (list == nullptr || !list->is_array())
+        return texts;
+    for (boost::json::value const& it : list->get_array())
+    {
+        if (it.is_string())
+            texts.emplace_back(it.get_string());
+    }
+    return texts;
+}
+
 entry_report::agent read_agent(boost::json::object const& object)
 {
     entry_report::agent agent;
@@ -109,6 +124,7 @@
     report.process = text_in(object, "process");
     report.revision = number_in(object, "revision");
     report.ready = flag_in(object, "ready");
+    report.evacuated = texts_in(object, "evacuated");
     boost::json::value const* const agents = object.if_contains("agents");
     if (agents == nullptr || !agents->is_array())
         return report;
--- a/src/client/operator_command.cpp
+++ b/src/client/operator_command.cpp
@@ -24,6 +24,8 @@
     "  status         show what is in force, and where\n"
     "  history        list the last release notes\n"
     "  drain VM       take all backend servers of a VM out of service\n"
+    "  evacuate DC    take a data centre out of service\n"
+    "  restore DC     take a data centre back into service\n"
     "  explain ID     show how a request was routed\n"
     "  keys           generate a new pair of CURVE keys\n\n"
     "Exit codes: 0 success, 1 failed, 2 invalid input, 3 conflict,\n"
@@ -38,13 +40,15 @@
     bool takes_argument;
 };
 
-constexpr std::array<command_row, 7> commands{{
+constexpr std::array<command_row, 9> commands{{
     {"check", &operator_session::check, true},
     {"plan", &operator_session::plan, true},
     {"apply", &operator_session::apply, true},
     {"status", &operator_session::status, false},
     {"history", &operator_session::history, false},
     {"drain", &operator_session::drain, true},
+    {"evacuate", &operator_session::evacuate, true},
+    {"restore", &operator_session::restore, true},
     {"explain", &operator_session::explain, true},
 }};
 
@@ -89,7 +93,7 @@
             't',
             POPT_ARG_INT,
             &out.timeout_s,
-            "Seconds that apply and drain wait (default: 30)",
+            "Seconds to wait until a note is in force (default: 30)",
             "SECONDS"),
         make_option(
             "version", 'V', POPT_ARG_NONE, &out.version, "Print the version"),
--- a/src/client/operator_session.cpp
+++ b/src/client/operator_session.cpp
@@ -114,6 +114,10 @@
             static_cast<void>(report(it));
         return exit_code::invalid_input;
     }
+    capacity_change const capacity{
+        count_backend_servers(base->objects),
+        count_backend_servers(effect->objects)};
+    std::vector<std::string> const warnings = warnings_of(capacity);
     bool const current = base->head.revision == note->base_revision;
     if (options_.json)
     {
@@ -125,6 +129,8 @@
         out["revision"] = base->head.revision;
         out["base_is_current"] = current;
         out["changes"] = std::move(changes);
+        out["backend_servers_in_use"] = to_json(capacity);
+        out["warnings"] = boost::json::value_from(warnings);
         print(out);
     }
     else
@@ -134,6 +140,7 @@
         print(
             std::to_string(effect->changes.size()) + " changes to revision " +
             std::to_string(base->head.revision));
+        print_capacity(capacity);
     }
     if (current)
         return exit_code::success;
@@ -210,11 +217,15 @@
     for (entry_report const& it : reports)
         newest = std::max(newest, it.revision);
     std::vector<std::string> const lagging = lagging_processes(reports, newest);
+    std::vector<std::string> const evacuated =
+        stored ? evacuated_data_centres(count_backend_servers(stored->objects))
+               : evacuated_data_centres(reports);
     if (options_.json)
     {
         boost::json::object out;
         out["platform_reachable"] = stored.has_value();
         out["revision"] = newest;
+        out["evacuated"] = boost::json::value_from(evacuated);
         out["entries"] = to_json(reports);
         out["behind"] = boost::json::value_from(lagging);
         print(out);
@@ -227,6 +238,8 @@
                          stored->head.note_id + "\""
                    : "platform: unreachable (" + stored.error().message +
                          "); the following is from the entries");
+        if (!evacuated.empty())
+            print("evacuated data centres: " + join(evacuated));
         for (entry_report const& it : reports)
             print(describe(it));
         print(
--- a/src/client/operator_session.hpp
+++ b/src/client/operator_session.hpp
@@ -15,7 +15,7 @@
 {
     /// Whether to print JSON instead of text.
     bool json = false;
-    /// How long apply and drain wait for the revision to become active.
+    /// How long commands wait for a revision to become active.
     duration timeout = std::chrono::seconds{30};
     /// Name stored with applied notes.
     std::string operator_name;
@@ -33,11 +33,15 @@
     [[nodiscard]] exit_code status(std::string const& unused);
     [[nodiscard]] exit_code history(std::string const& unused);
     [[nodiscard]] exit_code drain(std::string const& vm);
+    [[nodiscard]] exit_code evacuate(std::string const& data_centre);
+    [[nodiscard]] exit_code restore(std::string const& data_centre);
     [[nodiscard]] exit_code explain(std::string const& request);
 
 private:
     [[nodiscard]] std::optional<release_note>
     load_note(std::string const& file);
+    [[nodiscard]] exit_code
+    set_evacuated(std::string const& data_centre, bool evacuated);
     [[nodiscard]] exit_code apply_and_wait(release_note const& note);
     [[nodiscard]] exit_code wait_until_active(std::uint64_t revision);
     [[nodiscard]] std::vector<entry_report> fetch_reports();
--- a/src/client/operator_texts.cpp
+++ b/src/client/operator_texts.cpp
@@ -1,5 +1,7 @@
 #include "operator_texts.hpp"
 
+#include <boost/json/value_from.hpp>
+
 #include <algorithm>
 
 namespace hornbeamweir
@@ -61,6 +63,8 @@
     std::string text = "entry " + entry.process + ": revision " +
                        std::to_string(entry.revision) +
                        (entry.ready ? ", ready" : ", not ready");
+    if (!entry.evacuated.empty())
+        text += ", evacuated: " + join(entry.evacuated);
     for (entry_report::agent const& agent : entry.agents)
     {
         text += "\n  " + agent.backend_server + ": " + state_of(agent) +
@@ -81,6 +85,7 @@
         entry["reachable"] = !it.process.empty();
         entry["ready"] = it.ready;
         entry["revision"] = it.revision;
+        entry["evacuated"] = boost::json::value_from(it.evacuated);
         entry["agents"] = it.agents.size();
         entries.emplace_back(std::move(entry));
     }
--- a/test/end_to_end/operator_test.cpp
+++ b/test/end_to_end/operator_test.cpp
@@ -137,6 +137,47 @@
         CHECK(contains(explained, "event=routing_decision"));
         CHECK(contains(explained, "chosen=rank-0"));
     }
+    SECTION("a data centre is taken out of service and back")
+    {
+        auto const status_of_call = [&]
+        {
+            return system
+                .call(
+                    0,
+                    "POST",
+                    "/v1/completions",
+                    R"({"model":"stroke-coach","max_tokens":2})")
+                .status;
+        };
+        finished_process const unknown = system.operate({"evacuate", "x"});
+        CHECK(unknown.code == 2);
+        CHECK(contains(
+            unknown, "found data centre \"x\", expected one of hu-central-a"));
+        std::string const file = system.write(
+            "n.yaml",
+            note(
+                "all",
+                1,
+                "added: {data_centres: [{id: hu-central-a, evacuated: "
+                "true}]}"));
+        finished_process const planned = system.operate({"plan", file});
+        INFO(planned.output);
+        CHECK(contains(
+            planned, "model stroke-coach: 1 -> 0 backend servers in use"));
+        CHECK(contains(planned, "would have no backend server in use"));
+        CHECK(contains(planned, "all data centres would be out of service"));
+        CHECK(system.operate({"evacuate", "hu-central-a"}).code == 0);
+        CHECK(status_of_call() == 503);
+        finished_process const again =
+            system.operate({"evacuate", "hu-central-a"});
+        CHECK(again.code == 0);
+        CHECK(contains(again, "already evacuated at revision 2"));
+        CHECK(contains(
+            system.operate({"status"}),
+            "evacuated data centres: hu-central-a"));
+        CHECK(system.operate({"restore", "hu-central-a"}).code == 0);
+        CHECK(status_of_call() == 200);
+    }
     SECTION("drain takes a VM's backend servers out of service")
     {
         CHECK(system.operate({"drain", "vm-rank-0"}).code == 0);
