--- a/test/membership/member_state_test.cpp
+++ b/test/membership/member_state_test.cpp
@@ -133,6 +133,7 @@
              ++it)
             parts[part_of(it->first.str())].data_centres.insert(*it);
         std::vector<std::shared_ptr<configuration_part const>> shared;
+        shared.reserve(parts.size());
         for (configuration_part& part : parts)
             shared.push_back(
                 std::make_shared<configuration_part const>(std::move(part)));
