Count the replicas of a restored data centre as cold

Cause: replicas may have become cold shortly before their data centre returns from an evacuation, and the registry tells it up to two seconds late. Change: the relay reports each data centre that returns to the pacing of cold replicas, which counts its replicas as cold for the configured start time.

--- a/src/relay/relay_evacuations.cpp
+++ b/src/relay/relay_evacuations.cpp
@@ -14,6 +14,11 @@
         return out;
     directory_.set_evacuated(evacuated_.current().data_centres);
     log_evacuations(before, source);
+    for (data_centre_id const& it : before)
+    {
+        if (!evacuated_.current().data_centres.contains(it))
+            cold_.on_data_centre_restored(it, now);
+    }
     for (auto& [name, state] : services_)
     {
         if (!directory_.is_evacuated(name))
--- a/test/relay/evacuation_test.cpp
+++ b/test/relay/evacuation_test.cpp
@@ -286,3 +286,50 @@
     static_cast<void>(it.core.on_evacuations({{}, 4}, "entry", it.now));
     CHECK(find_action<open_attempt>(it.request(4, "/safe/x", 3000)));
 }
+
+// Guards against a jump of the load to a data centre that returns: its replicas
+// may have become cold shortly before, and an entry may not know that yet.
+TEST_CASE("a data centre that returns from an evacuation counts as cold")
+{
+    constexpr double tolerated = 2;
+    constexpr std::size_t most = 2 * 8; // two replicas, 1.5 x 2 + 5 each
+    relay_fixture it;
+    route_configuration next = it.core.routes().table()->configuration();
+    next.version += 1;
+    next.services.front().cold_start = std::chrono::seconds{3};
+    next.services.front().cold_requests_per_second = tolerated;
+    it.core.routes().update(next, it.now);
+    std::map<backend_server_id, replica> registered;
+    for (replica const* known :
+         it.core.replicas().usable(service_name{"plain"}))
+        registered.emplace(known->id, *known);
+    it.core.cold().on_replicas(registered, it.now);
+    auto const sent_in_a_second = [&](std::uint64_t first)
+    {
+        std::size_t out = 0;
+        for (std::uint64_t n = first; n < first + 100; ++n)
+        {
+            it.advance(milliseconds{10});
+            std::optional<open_attempt> const sent =
+                find_action<open_attempt>(it.request(n, "/open/x", 3000));
+            static_cast<void>(it.core.on_tick(it.now));
+            if (!sent)
+                continue;
+            ++out;
+            static_cast<void>(it.core.on_head(
+                n, sent->attempt, test::signed_response(200), it.now));
+            static_cast<void>(it.core.on_end(n, sent->attempt, it.now));
+        }
+        return out;
+    };
+    static_cast<void>(sent_in_a_second(1000));
+    CHECK(sent_in_a_second(2000) == 100);
+    data_centre_id const a{"a"};
+    static_cast<void>(it.core.on_evacuations({{a}, 2}, "store", it.now));
+    CHECK(sent_in_a_second(3000) == 0);
+    static_cast<void>(it.core.on_evacuations({{}, 3}, "store", it.now));
+    CHECK(sent_in_a_second(4000) <= most);
+    static_cast<void>(sent_in_a_second(5000));
+    static_cast<void>(sent_in_a_second(6000));
+    CHECK(sent_in_a_second(7000) == 100);
+}
