Copy somewhat more per map, and search large groups faster

Cause: with the first bound on the gain of the last copy, maps stopped early at a higher skew; and a search in a group of 63 or 72 ranks took up to 1.8 times as long as before (2.7 times without pruning).

Change: the bound of the last copy is 0.36 instead of 0.45. Moves whose gain can't reach that of the best one, judged by the source and the target alone, are left out before all ranks are computed; the maps are the same. map_planned logs the group's load.

--- a/src/daemon/group_coordination.cpp
+++ b/src/daemon/group_coordination.cpp
@@ -329,6 +329,7 @@
             "skew_after",
             next->skew_sum_after / static_cast<double>(current->size()))
         .with("moves", next->moves)
+        .with("load", load())
         .with(
             "planning_ms",
             std::chrono::duration_cast<milliseconds>(elapsed).count());
--- a/src/expert_map/map_planner.cpp
+++ b/src/expert_map/map_planner.cpp
@@ -32,8 +32,9 @@
 constexpr double min_gain_per_copy = 0.72;
 /// Minimum gain of each copy of a map, in the same unit. Maps improve by many
 /// small moves, so that a bound as high as that of a whole map would stop the
-/// search early.
-constexpr double min_gain_of_last_copy = 0.45;
+/// search early. With 0.45 map_shift_bench copies 5 % less, and the mean skew
+/// rises by 0.012.
+constexpr double min_gain_of_last_copy = 0.36;
 /// Minimum weight of the gain in a group with spare capacity. Long passes delay
 /// each stream there too, so that maps still follow the largest changes.
 constexpr double min_load = 0.3;
--- a/src/placement/placement_search.cpp
+++ b/src/placement/placement_search.cpp
@@ -65,7 +65,21 @@
             return false;
         added -= displaced;
     }
-    return times_[it.to] + added * slowdowns_[it.to] < times_[it.from];
+    double const to_time = times_[it.to] + added * slowdowns_[it.to];
+    if (to_time >= times_[it.from])
+        return false;
+    if (!it.leaves_source)
+        return true;
+    // The times of other ranks can only rise.
+    double removed = share / ranks;
+    if (it.swaps)
+        removed -= shares_[*it.displaced] /
+                   static_cast<double>(ranks_by_expert_[*it.displaced].size());
+    double const from_time = times_[it.from] - removed * slowdowns_[it.from];
+    double const max_reduction = powers_[it.to] - eighth_power(to_time) +
+                                 powers_[it.from] - eighth_power(from_time);
+    return imbalance_ - max_reduction < max_imbalance_ &&
+           max_reduction > best_gain_ * weight_of(it);
 }
 
 // Evaluates only the ranks whose times the move changes: computing all
