Accept the first request of an empty queue

Cause: fair_queue rejects a request whose expected wait is too long, by the measured interval of departures. After a slow period, such as replicas paced at a low rate, that interval stays long without departures, so that an empty queue could reject all requests for ever. Change: an empty queue accepts.

--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -68,10 +68,13 @@
                static_cast<double>(spread.count()) * random_.unit())};
 }
 
+// The first request of an empty queue is accepted whatever the departures were:
+// they are measured only while requests depart, so that a slow period would
+// otherwise reject all requests for ever.
 std::optional<duration> fair_queue::push(queued_request item, time_point now)
 {
     priority_level& level = levels_[item.priority];
-    if (now + expected_wait(level, item) > item.deadline)
+    if (size_ > 0 && now + expected_wait(level, item) > item.deadline)
         return retry_after();
     if (size_ == 0)
         last_departure_ = now;
--- a/test/admission/overload_gate_test.cpp
+++ b/test/admission/overload_gate_test.cpp
@@ -147,3 +147,20 @@
     gate.release(request_id{"none"}, true);
     CHECK(gate.queued() == 0);
 }
+
+// Guards against a queue that rejects all requests for ever, since departures
+// are measured only while requests depart.
+TEST_CASE("a slow period does not close an empty queue")
+{
+    fair_queue queue{random_source{1}};
+    int time = 0;
+    for (int n = 0; n < 100; ++n)
+    {
+        constexpr int slow_ms = 5000;
+        static_cast<void>(queue.push(make_request(n, "a"), time_at_ms(time)));
+        time += slow_ms;
+        static_cast<void>(queue.pop(time_at_ms(time)));
+    }
+    REQUIRE(queue.size() == 0);
+    CHECK_FALSE(queue.push(make_request(200, "a"), time_at_ms(time)));
+}
