Complete or undo a held change in few rounds after a takeover

Cause: after a takeover the phase clearing ordered every rank to prepare the map in force before a held pass was released. It found no common map in force while its last report of the suspended agent's rank named an earlier map. Ranks that were read directly lost the abilities of their agents, so that each was sent a whole map. No order went out for 250 ms.

Change: if all ranks have prepared the map and its pass is held, the successor arms the rest and releases, with no map in any order. Otherwise ranks are disarmed only after a rank has given the map up, so that no coordinator can find all ranks armed. The previous coordinator's rank is read at once; a pass is held for one change only; clearing starts anew in a new epoch; an armed rank found while copying is cleared.

--- a/include/hornbeamweir/expert_map/hold_coordinator.hpp
+++ b/include/hornbeamweir/expert_map/hold_coordinator.hpp
@@ -19,7 +19,7 @@
 /// order of a later change, it rejects delayed duplicates of earlier ones.
 /// Ranks are armed for a pass only while it is held. It is released only when
 /// all ranks are armed, or when no rank is armed and delayed arm orders can no
-/// longer take effect.
+/// longer take effect. docs/design/expert_map.md has the argument.
 class hold_coordinator
 {
 public:
@@ -65,6 +65,13 @@
     /// has ordered ranks to prepare.
     void on_map_ordered(std::uint64_t version, shared_experts mapping);
 
+    /// \brief Sets the version of the map in force at the local rank, which is
+    /// kept for the time when this process coordinates.
+    void on_local_map(std::uint64_t version) noexcept
+    {
+        local_map_version_ = version;
+    }
+
     /// \returns A map recorded by on_map_ordered(); null if unknown.
     [[nodiscard]] group_experts const* ordered_map(std::uint64_t version) const
     {
@@ -104,7 +111,10 @@
     /// \brief The map in force.
     /// \returns Null unless all ranks have last reported the same version and
     /// its experts are known.
-    [[nodiscard]] shared_experts in_force() const;
+    [[nodiscard]] shared_experts in_force() const
+    {
+        return in_force_except(std::nullopt);
+    }
 
     /// \brief Whether a report of every rank of the group was received.
     [[nodiscard]] bool all_ranks_reported() const;
@@ -149,6 +159,8 @@
         std::uint64_t experts_version = 0;
         std::uint64_t experts_epoch = 0;
         time_point reported_at{};
+        /// Time of the last report by the rank's agent.
+        time_point agent_reported_at{};
     };
 
     /// Order last sent to a rank in this phase.
@@ -173,6 +185,13 @@
         duration transfer_time{};
     };
 
+    /// Map of a change, and the pass at which it comes into force.
+    struct change_target
+    {
+        std::uint64_t version = 0;
+        std::uint64_t step = 0;
+    };
+
     using orders = std::vector<rank_order>;
 
     /// Whether all ranks are in the same formed group, by recent reports.
@@ -182,6 +201,9 @@
     /// Local rank of the previous coordinator, if it has no recent report.
     [[nodiscard]] std::optional<std::uint32_t>
     missing_previous_rank(time_point now) const;
+    /// Whether the previous coordinator's rank has to be read now, to clean up
+    /// after it.
+    [[nodiscard]] bool previous_rank_needed(time_point now) const;
     /// Rank at which passes are held.
     [[nodiscard]] std::uint32_t hold_rank() const;
     [[nodiscard]] std::uint64_t newest_epoch() const;
@@ -201,6 +223,9 @@
     [[nodiscard]] prepare_encoding
     difference_to(std::uint64_t base_version, group_experts const& base) const;
     [[nodiscard]] shared_experts assemble_in_force() const;
+    /// \param excluded Rank whose last report may be out of date.
+    [[nodiscard]] shared_experts
+    in_force_except(std::optional<std::uint32_t> excluded) const;
     /// Whether recent reports of all ranks show neither a held pass nor an
     /// armed rank.
     [[nodiscard]] bool has_nothing_to_clear(time_point now) const;
@@ -218,12 +243,30 @@
     void order_prepare(
         std::vector<std::uint32_t> const& ranks, time_point now, orders& out);
     [[nodiscard]] duration clearing_timeout() const;
+    /// Starts to clear if a rank was armed or a pass held for some time without
+    /// a change.
+    [[nodiscard]] bool clears_unexpected_state(time_point now);
     void run_idle(time_point now, orders& out);
     void run_preparing(time_point now, orders& out);
     void run_holding(time_point now, orders& out);
     void run_arming(time_point now, orders& out);
     void run_releasing(time_point now, orders& out);
     void run_clearing(time_point now, orders& out);
+    /// Continues the change of an earlier coordinator, if all ranks have
+    /// prepared its map and its pass is held.
+    /// \returns Whether there was such a change.
+    [[nodiscard]] bool resume_change(time_point now, orders& out);
+    [[nodiscard]] std::optional<change_target> find_resumable() const;
+    /// Orders ranks to prepare the map in force under a new version.
+    void restore_map(
+        std::vector<std::uint32_t> const& unrestored,
+        time_point now,
+        orders& out);
+    /// Orders ranks without armed maps to prepare the map in force, then
+    /// releases held passes.
+    void restore_and_release(
+        std::optional<std::uint32_t> missing, time_point now, orders& out);
+    void end_clearing(time_point now);
     /// Orders ranks that hold a pass to release it.
     /// \returns Whether any holds one.
     [[nodiscard]] bool release_held(
@@ -231,8 +274,13 @@
     void clear_armed(
         std::set<std::uint32_t> const& armed,
         bool all_armed,
+        std::optional<std::uint32_t> missing,
         time_point now,
         orders& out);
+    /// Notes a pass for which orders may be in transit.
+    void note_step(std::uint64_t step) noexcept;
+    /// Notes the passes that ranks hold or are armed for.
+    void note_reported_steps() noexcept;
 
     event_log& log_;
     double link_megabits_per_second_;
@@ -241,6 +289,7 @@
     std::uint32_t local_rank_ = 0;
     /// Rank on the VM of the previous coordinator.
     std::optional<std::uint32_t> previous_local_rank_;
+    std::uint64_t local_map_version_ = 0;
     /// Recently ordered maps, by version.
     std::map<std::uint64_t, shared_experts> ordered_maps_;
     std::map<std::uint32_t, rank_view> views_;
@@ -254,8 +303,15 @@
     mutable std::uint64_t assembled_version_ = 0;
     phase phase_ = phase::idle;
     time_point phase_entered_{};
-    /// No orders are sent before this time.
-    time_point active_from_{};
+    /// Whether a change of an earlier coordinator may be completed.
+    bool may_resume_ = false;
+    /// Whether the current change was begun by an earlier coordinator.
+    bool resumed_ = false;
+    /// Whether another coordinator may have chosen passes that are unknown
+    /// here.
+    bool follows_another_ = false;
+    /// Latest pass for which hold, arm or release orders may be in transit.
+    std::uint64_t last_ordered_step_ = 0;
     std::uint64_t epoch_ = 0;
     /// Version that ranks are ordered to prepare or switch to.
     std::uint64_t version_ = 0;
--- a/src/expert_map/hold_coordinator.cpp
+++ b/src/expert_map/hold_coordinator.cpp
@@ -12,8 +12,8 @@
 
 /// A rank whose last report is older than this is not usable.
 constexpr duration report_validity = milliseconds{1200};
-/// Time for orders of an earlier coordinator that are still in flight.
-constexpr duration settle_time = milliseconds{250};
+/// What a rank tells other VMs is up to this old; its agent knows newer.
+constexpr duration direct_report_lag = milliseconds{300};
 /// Age above which the report of a rank with a silent agent is read again while
 /// a map is changed.
 constexpr duration max_direct_report_age = milliseconds{150};
@@ -33,11 +33,13 @@
     time_point now)
 {
     previous_local_rank_ = previous == local_rank ? std::nullopt : previous;
+    follows_another_ = previous.has_value();
     leading_ = true;
     fence_ = fence;
     change_count_ = 0;
     local_rank_ = local_rank;
-    active_from_ = now + settle_time;
+    may_resume_ = true;
+    resumed_ = false;
     sent_.clear();
     enter(phase::clearing, "became coordinator", now);
 }
@@ -65,14 +67,23 @@
         (same_epoch && state.incarnation < view.state.incarnation) ||
         (same_incarnation && (state.orders_begun < view.state.orders_begun ||
                               state.step < view.state.step));
-    if (older)
+    // While the agent reports, a direct reading is older than its reports, and
+    // does not tell which orders the agent accepts.
+    bool const agent_reports =
+        same_incarnation && now - view.agent_reported_at <= direct_report_lag;
+    if (older || (state.read_directly && agent_reports && !experts))
         return;
     std::uint64_t const accepted_version = view.state.accepted_version;
-    view.state = state;
+    if (!state.read_directly || !agent_reports)
+    {
+        view.state = state;
+        view.reported_at = now;
+    }
     // The rank does not report it, only its agent does.
     if (state.read_directly && same_incarnation)
         view.state.accepted_version = accepted_version;
-    view.reported_at = now;
+    if (!state.read_directly)
+        view.agent_reported_at = now;
     if (experts)
     {
         view.experts = std::move(*experts);
@@ -125,45 +136,12 @@
     return ranks > 0 && usable == ranks;
 }
 
-// A VM that fails takes down both the coordinator and its local rank.
-std::optional<std::uint32_t>
-hold_coordinator::missing_previous_rank(time_point now) const
-{
-    if (!previous_local_rank_)
-        return std::nullopt;
-    auto const it = views_.find(*previous_local_rank_);
-    bool const reported =
-        it != views_.end() && now - it->second.reported_at <= report_validity;
-    return reported ? std::nullopt : previous_local_rank_;
-}
-
 std::uint32_t hold_coordinator::hold_rank() const
 {
     std::uint32_t const ranks = views_.begin()->second.state.ranks;
     return ranks == 0 ? local_rank_ : (local_rank_ + 1) % ranks;
 }
 
-void hold_coordinator::on_map_ordered(
-    std::uint64_t version, shared_experts mapping)
-{
-    constexpr std::size_t max_maps = 8;
-    ordered_maps_.insert_or_assign(version, std::move(mapping));
-    // Maps in force are kept; they are often older than many abandoned ones.
-    auto const oldest_unused = std::find_if(
-        ordered_maps_.begin(),
-        ordered_maps_.end(),
-        [this](auto const& map)
-        {
-            return std::none_of(
-                views_.begin(),
-                views_.end(),
-                [&](auto const& view)
-                { return view.second.state.map_version == map.first; });
-        });
-    if (ordered_maps_.size() > max_maps && oldest_unused != ordered_maps_.end())
-        ordered_maps_.erase(oldest_unused);
-}
-
 std::uint64_t hold_coordinator::newest_epoch() const
 {
     std::uint64_t out = 0;
@@ -215,30 +193,34 @@
 bool hold_coordinator::ready_for_map(time_point now) const
 {
     return leading_ && phase_ == phase::idle && all_ranks_usable(now) &&
-           !unexpected_state_since_ && in_force() != nullptr;
+           !unexpected_state_since_ && latest_step() >= last_ordered_step_ &&
+           in_force() != nullptr;
 }
 
 // Reports are frequent and maps are large, so a map is put together from the
 // ranks' experts only once.
-shared_experts hold_coordinator::in_force() const
+shared_experts
+hold_coordinator::in_force_except(std::optional<std::uint32_t> excluded) const
 {
-    if (views_.empty())
+    auto const first = std::find_if(
+        views_.begin(),
+        views_.end(),
+        [&](auto const& view) { return view.first != excluded; });
+    if (first == views_.end())
         return nullptr;
-    auto const ordered =
-        ordered_maps_.find(views_.begin()->second.state.map_version);
+    std::uint64_t const version = first->second.state.map_version;
+    auto const ordered = ordered_maps_.find(version);
     bool const same_map = std::all_of(
         views_.begin(),
         views_.end(),
-        [&](auto const& view)
-        {
-            return view.second.state.map_version ==
-                   views_.begin()->second.state.map_version;
+        [&](auto const& view) {
+            return view.first == excluded ||
+                   view.second.state.map_version == version;
         });
     if (!same_map)
         return nullptr;
     if (ordered != ordered_maps_.end())
         return ordered->second;
-    std::uint64_t const version = views_.begin()->second.state.map_version;
     std::uint64_t const epoch = newest_epoch();
     if (!assembled_ || assembled_epoch_ != epoch ||
         assembled_version_ != version)
@@ -330,21 +312,24 @@
     epoch_ = newest_epoch();
     version_ = next_version();
     step_ = 0;
+    resumed_ = false;
     enter(phase::preparing, "new map planned", now);
 }
 
 std::vector<rank_order> hold_coordinator::on_tick(time_point now)
 {
     orders out;
-    if (!leading_ || now < active_from_ || views_.empty())
+    if (!leading_ || views_.empty())
         return out;
     std::uint64_t const epoch = newest_epoch();
     if (epoch != epoch_)
     {
         epoch_ = epoch;
+        // Ranks reject orders of an earlier epoch.
+        last_ordered_step_ = 0;
         // In a new epoch the initial map is in force, and nothing is armed or
         // held.
-        if (phase_ != phase::idle && phase_ != phase::clearing)
+        if (phase_ != phase::idle)
             enter(phase::clearing, "the group was re-formed", now);
     }
     using phase_handler = void (hold_coordinator::*)(time_point, orders&);
@@ -363,8 +348,10 @@
 hold_coordinator::ranks_with_stale_report(duration age, time_point now) const
 {
     std::vector<std::uint32_t> out;
-    if (!leading_ || now < active_from_)
+    if (!leading_)
         return out;
+    if (previous_rank_needed(now))
+        out.push_back(*previous_local_rank_);
     bool const is_quiet = phase_ == phase::idle || phase_ == phase::preparing;
     std::size_t silent_agents = 0;
     for (auto const& [rank, view] : views_)
@@ -376,7 +363,8 @@
             view.state.read_directly && phase_ != phase::idle
                 ? std::min(age, max_direct_report_age)
                 : age;
-        if (now - view.reported_at > max_age)
+        if (now - view.reported_at > max_age &&
+            (out.empty() || out.front() != rank))
             out.push_back(rank);
     }
     // After the loss of many VMs the group itself is broken.
--- a/src/expert_map/hold_orders.cpp
+++ b/src/expert_map/hold_orders.cpp
@@ -67,6 +67,28 @@
 
 } // namespace
 
+void hold_coordinator::on_map_ordered(
+    std::uint64_t version, shared_experts mapping)
+{
+    constexpr std::size_t max_maps = 8;
+    ordered_maps_.insert_or_assign(version, std::move(mapping));
+    // Maps in force are kept; they are often older than many abandoned ones.
+    auto const oldest_unused = std::find_if(
+        ordered_maps_.begin(),
+        ordered_maps_.end(),
+        [this](auto const& map)
+        {
+            return map.first != local_map_version_ &&
+                   std::none_of(
+                       views_.begin(),
+                       views_.end(),
+                       [&](auto const& view)
+                       { return view.second.state.map_version == map.first; });
+        });
+    if (ordered_maps_.size() > max_maps && oldest_unused != ordered_maps_.end())
+        ordered_maps_.erase(oldest_unused);
+}
+
 void hold_coordinator::order(
     std::uint32_t rank,
     rank_operation operation,
--- a/src/expert_map/hold_phases.cpp
+++ b/src/expert_map/hold_phases.cpp
@@ -15,39 +15,48 @@
 constexpr duration prepare_timeout = milliseconds{6000};
 /// A prepare order that a rank has accepted is repeated after this time.
 constexpr duration prepare_repeat_interval = milliseconds{3000};
+/// The same while clearing: ranks then have all experts of the map, and a pass
+/// may be held meanwhile.
+constexpr duration restore_repeat_interval = milliseconds{500};
 constexpr duration hold_timeout = milliseconds{1500};
 constexpr duration arm_timeout = milliseconds{2000};
+/// The same for a change of an earlier coordinator, whose pass has been held
+/// for long.
+constexpr duration resumed_arm_timeout = milliseconds{600};
 /// The pass to hold is this many passes ahead of the latest one, so that the
 /// hold order arrives before it starts.
 constexpr std::uint64_t hold_lead_steps = 2;
-/// Orders of an earlier change that are in transit take effect within this
-/// time, unless ranks execute them late.
-constexpr duration settle_time = milliseconds{250};
-/// Time in which ranks execute the orders of the phase clearing, and report it.
-constexpr duration min_clearing_timeout = milliseconds{1500};
 /// A held pass or an armed rank that belongs to no change is cleared after this
 /// time.
 constexpr duration unexpected_state_timeout = milliseconds{250};
 
 } // namespace
 
-// A delayed order of an earlier change can still hold a pass or arm a rank.
-void hold_coordinator::run_idle(time_point now, orders& /*out*/)
+// A delayed order of an earlier change, or an earlier coordinator that has not
+// noticed its successor, can still hold a pass or arm a rank.
+bool hold_coordinator::clears_unexpected_state(time_point now)
 {
+    note_reported_steps();
     bool unexpected_state = !armed_ranks().empty();
     for (auto const& [rank, view] : views_)
         unexpected_state = unexpected_state || view.state.held_step.has_value();
     if (!unexpected_state)
     {
         unexpected_state_since_.reset();
-        return;
+        return false;
     }
     if (!unexpected_state_since_)
         unexpected_state_since_ = now;
     if (now - *unexpected_state_since_ < unexpected_state_timeout)
-        return;
+        return false;
     unexpected_state_since_.reset();
     enter(phase::clearing, "held pass or armed rank without a change", now);
+    return true;
+}
+
+void hold_coordinator::run_idle(time_point now, orders& /*out*/)
+{
+    static_cast<void>(clears_unexpected_state(now));
 }
 
 // Repeated orders wait for those that have not been sent yet.
@@ -74,15 +83,21 @@
     std::uint32_t rank, time_point now, orders& out)
 {
     auto const last = sent_.find(rank);
+    duration const interval = phase_ == phase::clearing
+                                  ? restore_repeat_interval
+                                  : prepare_repeat_interval;
     bool const copying = views_.at(rank).state.accepted_version == version_ &&
                          last != sent_.end() &&
-                         now - last->second.sent_at < prepare_repeat_interval;
+                         now - last->second.sent_at < interval;
     if (!copying)
         order(rank, rank_operation::prepare, version_, 0, now, out);
 }
 
 void hold_coordinator::run_preparing(time_point now, orders& out)
 {
+    // An armed rank refuses to prepare a map.
+    if (clears_unexpected_state(now))
+        return;
     if (!all_ranks_usable(now))
     {
         enter(
@@ -127,37 +142,51 @@
     // The pass started before the hold order arrived.
     if (latest_step() >= step_)
         step_ = latest_step() + hold_lead_steps;
+    note_step(step_);
     order(hold_rank(), rank_operation::hold, 0, step_, now, out);
 }
 
+// A successor takes the rank on the VM of the coordinator that began the change
+// for unarmed while any other is, so that rank is armed last: the local rank,
+// or for a change of an earlier coordinator, the rank on that one's VM.
 void hold_coordinator::run_arming(time_point now, orders& out)
 {
-    bool all_armed = true;
-    bool local_rank_armed = true;
+    std::vector<std::uint32_t> last{local_rank_};
+    if (resumed_ && previous_local_rank_)
+        last.push_back(*previous_local_rank_);
+    std::vector<std::uint32_t> unarmed;
     for (auto const& [rank, view] : views_)
     {
         bool const armed = view.state.map_version == version_ ||
                            (view.state.armed_version == version_ &&
                             view.state.armed_step == step_);
-        if (rank == local_rank_)
-            local_rank_armed = armed;
-        else if (!armed)
-        {
-            all_armed = false;
-            order(rank, rank_operation::arm, version_, step_, now, out);
-        }
-    }
-    if (all_armed && !local_rank_armed)
-    {
-        all_armed = false;
-        order(local_rank_, rank_operation::arm, version_, step_, now, out);
+        if (!armed)
+            unarmed.push_back(rank);
     }
-    if (all_armed)
+    if (unarmed.empty())
     {
         enter(phase::releasing, "all ranks are armed", now);
         run_releasing(now, out);
+        return;
+    }
+    bool others_armed = true;
+    for (std::uint32_t const rank : unarmed)
+    {
+        if (std::find(last.begin(), last.end(), rank) != last.end())
+            continue;
+        others_armed = false;
+        order(rank, rank_operation::arm, version_, step_, now, out);
     }
-    else if (now - phase_entered_ > arm_timeout)
+    for (std::uint32_t const rank : last)
+    {
+        bool const armed =
+            std::find(unarmed.begin(), unarmed.end(), rank) == unarmed.end();
+        if (!others_armed || armed)
+            continue;
+        others_armed = false;
+        order(rank, rank_operation::arm, version_, step_, now, out);
+    }
+    if (now - phase_entered_ > (resumed_ ? resumed_arm_timeout : arm_timeout))
         enter(phase::clearing, "timed out waiting for ranks to be armed", now);
 }
 
@@ -175,150 +204,6 @@
     enter(phase::idle, "all ranks have switched to the map", now);
 }
 
-// Ranks are armed only while a pass is held. If only some ranks are armed, they
-// can therefore be disarmed before the pass starts. If all ranks are armed for
-// the same map and pass, the change is completed instead.
-void hold_coordinator::clear_armed(
-    std::set<std::uint32_t> const& armed,
-    bool all_armed,
-    time_point now,
-    orders& out)
-{
-    rank_view const& first = views_.at(*armed.begin());
-    bool const same_target = std::all_of(
-        armed.begin(),
-        armed.end(),
-        [&](std::uint32_t rank)
-        {
-            rank_state const& state = views_.at(rank).state;
-            return state.armed_version == first.state.armed_version &&
-                   state.armed_step == first.state.armed_step;
-        });
-    if (same_target && all_armed && !disarming_)
-    {
-        version_ = first.state.armed_version;
-        step_ = first.state.armed_step;
-        enter(phase::releasing, "all ranks were already armed", now);
-        return;
-    }
-    bool const held = std::any_of(
-        views_.begin(),
-        views_.end(),
-        [](auto const& view)
-        { return view.second.state.held_step.has_value(); });
-    if (!held)
-    {
-        order(
-            hold_rank(),
-            rank_operation::hold,
-            0,
-            first.state.armed_step,
-            now,
-            out);
-        return;
-    }
-    disarming_ = true;
-    for (std::uint32_t const rank : armed)
-    {
-        order(
-            rank,
-            rank_operation::disarm,
-            views_.at(rank).state.armed_version,
-            0,
-            now,
-            out);
-    }
-}
-
-// Ranks are armed only while a pass is held. If none is, an arm order of an
-// earlier change finds that its pass has begun, and the next change, which all
-// ranks prepare with a higher fence, shuts out the other orders.
-bool hold_coordinator::has_nothing_to_clear(time_point now) const
-{
-    // What a rank tells other VMs is some hundred milliseconds old.
-    constexpr duration direct_report_lag = milliseconds{300};
-    time_point const settled_at = phase_entered_ + settle_time;
-    return cleared_.empty() && !disarming_ && all_ranks_usable(now) &&
-           std::all_of(
-               views_.begin(),
-               views_.end(),
-               [&](auto const& it)
-               {
-                   rank_view const& view = it.second;
-                   duration const lag = view.state.read_directly
-                                            ? direct_report_lag
-                                            : duration{};
-                   return view.reported_at >= settled_at + lag &&
-                          !is_armed(view) && !view.state.held_step;
-               });
-}
-
-duration hold_coordinator::clearing_timeout() const
-{
-    duration const transfer =
-        mapping_ ? whole_map().transfer_time * static_cast<int>(views_.size())
-                 : duration{};
-    return std::max(min_clearing_timeout, 2 * transfer);
-}
-
-// Each rank is first ordered to prepare the map in force under a new version.
-// Once it has, it rejects delayed duplicates of earlier orders. Only then is a
-// held pass released.
-void hold_coordinator::run_clearing(time_point now, orders& out)
-{
-    if (has_nothing_to_clear(now))
-    {
-        enter(phase::idle, "no rank is armed and no pass held", now);
-        return;
-    }
-    // The previous coordinator armed its local rank last. While any other rank
-    // is not armed, that rank is not armed either, and clearing can proceed
-    // without its report. If all others are armed, it may be armed too, and
-    // clearing waits for its report.
-    std::optional<std::uint32_t> const missing = missing_previous_rank(now);
-    if (!all_ranks_usable_except(missing, now))
-        return;
-    std::set<std::uint32_t> armed = armed_ranks();
-    if (missing)
-        armed.erase(*missing);
-    std::size_t const ranks = views_.begin()->second.state.ranks;
-    std::size_t const present = ranks - (missing ? 1 : 0);
-    if (!armed.empty())
-    {
-        bool const all_armed = armed.size() == ranks;
-        if (missing && armed.size() == present && !disarming_)
-            return;
-        clear_armed(armed, all_armed, now, out);
-        return;
-    }
-    shared_experts const current = in_force();
-    if (!current)
-        return;
-    mapping_ = current;
-    std::vector<std::uint32_t> uncleared;
-    for (auto const& [rank, view] : views_)
-    {
-        if (rank == missing)
-            continue;
-        if (view.state.prepared_version == version_)
-            cleared_.insert(rank);
-        else if (!cleared_.contains(rank))
-            uncleared.push_back(rank);
-    }
-    order_prepare(uncleared, now, out);
-    if (cleared_.size() < present)
-    {
-        if (now - phase_entered_ > clearing_timeout())
-            enter(
-                phase::clearing,
-                "timed out clearing, retrying with a new version",
-                now);
-        return;
-    }
-    if (!release_held(missing, now, out))
-        enter(phase::idle, "no rank is armed and no pass held", now);
-}
-
 bool hold_coordinator::release_held(
     std::optional<std::uint32_t> excluded, time_point now, orders& out)
 {
--- a/test/expert_map/hold_coordinator_test.cpp
+++ b/test/expert_map/hold_coordinator_test.cpp
@@ -52,6 +52,24 @@
           .restarted_ranks = true,
           .idle_periods = true,
           .engines_check_fences = false}},
+        {"coordinators suspended in any phase, without fence checks",
+         {.delayed_orders = 0.1,
+          .duplicated_orders = 0.1,
+          .lost_orders = 0.05,
+          .suspended_phases = 0.08,
+          .reachable_engines = true,
+          .restarted_ranks = true,
+          .idle_periods = true,
+          .engines_check_fences = false}},
+        {"coordinators replaced early, that go on when they resume",
+         {.delayed_orders = 0.1,
+          .duplicated_orders = 0.1,
+          .lost_orders = 0.05,
+          .lost_reports = 0.05,
+          .suspended_phases = 0.08,
+          .reachable_engines = true,
+          .early_takeovers = true,
+          .restarted_ranks = true}},
     };
     for (row const& it : rows)
     {
@@ -79,3 +97,27 @@
         }
     }
 }
+
+// Passes stopped for 4 s when the agent of a coordinator was suspended.
+TEST_CASE("a suspended coordinator stalls the group for a second", "[hold]")
+{
+    using phase = hornbeamweir::hold_coordinator::phase;
+    constexpr std::chrono::milliseconds one_pass{50};
+    constexpr std::chrono::milliseconds limit{1000};
+    for (phase const it : {phase::holding, phase::arming, phase::releasing})
+    {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed)
+        {
+            CAPTURE(hornbeamweir::name_of(it), seed);
+            held_group group{
+                seed, {.reachable_engines = true, .early_takeovers = true}};
+            group.run(std::chrono::seconds{2});
+            group.suspend_in(it);
+            std::uint64_t const before = group.maps_switched;
+            group.run(std::chrono::seconds{6});
+            CHECK(group.longest_stall <= limit + one_pass);
+            CHECK(group.engines().mixed_passes() == 0);
+            CHECK(group.maps_switched > before + 3);
+        }
+    }
+}
--- a/test/support/held_group.cpp
+++ b/test/support/held_group.cpp
@@ -14,6 +14,11 @@
 constexpr duration copy_time = milliseconds{80};
 constexpr duration report_interval = milliseconds{60};
 constexpr duration lease_time = milliseconds{1600};
+/// Silence after which a coordinator is replaced if fences are checked.
+constexpr duration silence_limit = milliseconds{600};
+/// Time in which a replaced coordinator learns of it after it has resumed.
+constexpr duration notice_time = milliseconds{300};
+constexpr duration direct_read_interval = milliseconds{100};
 constexpr duration reform_time = milliseconds{600};
 constexpr std::uint32_t experts = 8;
 
@@ -40,15 +45,19 @@
     pending_.emplace(now_ + delay, std::move(action));
 }
 
+bool held_group::has_silent_agent(std::uint32_t rank) const
+{
+    return std::any_of(
+        processes_.begin(),
+        processes_.end(),
+        [&](process const& it)
+        { return it.local_rank == rank && now_ < it.suspended_until; });
+}
+
 // The local rank of a suspended process is disconnected from the network.
 bool held_group::reachable(std::uint32_t rank) const
 {
-    for (process const& it : processes_)
-    {
-        if (it.local_rank == rank && now_ < it.suspended_until)
-            return false;
-    }
-    return true;
+    return faults_.reachable_engines || !has_silent_agent(rank);
 }
 
 void held_group::run(duration time)
@@ -84,6 +93,7 @@
         if (has_work_)
             engines_.begin_pass(now_);
     }
+    count_stall();
     if (now_ >= next_report_)
     {
         next_report_ = now_ + report_interval;
@@ -100,13 +110,74 @@
         schedule(milliseconds{100}, [this, order] { deliver(order); });
         return;
     }
-    static_cast<void>(engines_.execute(order, now_));
+    bool const accepted = engines_.execute(order, now_);
     report(order.rank);
+    if (!accepted || !has_silent_agent(order.rank))
+        return;
+    for (process& it : processes_)
+    {
+        if (now_ >= it.suspended_until && it.coordinator.is_coordinator())
+            it.coordinator.on_accepted(order);
+    }
+}
+
+void held_group::count_stall()
+{
+    bool const passes = engines_.passes() != last_pass_ || !has_work_ ||
+                        !engines_.state(0).group_formed;
+    last_pass_ = engines_.passes();
+    if (passes)
+        last_pass_at_ = now_;
+    longest_stall = std::max(longest_stall, now_ - last_pass_at_);
+}
+
+void held_group::suspend_in(hold_coordinator::phase phase)
+{
+    for (;; step())
+    {
+        for (process& it : processes_)
+        {
+            if (!it.coordinator.is_coordinator() ||
+                it.coordinator.current_phase() != phase)
+                continue;
+            suspend(it, std::chrono::seconds{4});
+            return;
+        }
+        now_ += tick;
+    }
+}
+
+void held_group::suspend(process& it, duration time)
+{
+    it.suspended_at = now_;
+    it.suspended_until = now_ + time;
+}
+
+// What a rank reports to other VMs is some time old.
+void held_group::read_directly(process& reader)
+{
+    for (std::uint32_t const rank :
+         reader.coordinator.ranks_with_stale_report(milliseconds{300}, now_))
+    {
+        rank_state state = engines_.state(rank);
+        state.read_directly = true;
+        if (!reachable(rank))
+            continue;
+        schedule(
+            milliseconds{20 + static_cast<std::int64_t>(random_.below(200))},
+            [this, state, &reader]
+            {
+                if (now_ >= reader.suspended_until)
+                    reader.coordinator.on_report(state, std::nullopt, now_);
+            });
+    }
 }
 
 void held_group::send(process& from, rank_order const& order)
 {
     static_cast<void>(from);
+    if (chance(faults_.lost_orders))
+        return;
     for (process& it : processes_)
     {
         if (order.operation == rank_operation::prepare)
@@ -115,7 +186,7 @@
     duration const usual_delay =
         milliseconds{1 + static_cast<std::int64_t>(random_.below(8))};
     duration const late_delay =
-        milliseconds{2000 + static_cast<std::int64_t>(random_.below(8000))};
+        milliseconds{2000 + static_cast<std::int64_t>(random_.below(10'000))};
     bool const is_late = chance(faults_.delayed_orders);
     schedule(
         is_late ? late_delay : usual_delay, [this, order] { deliver(order); });
@@ -125,7 +196,7 @@
 
 void held_group::report(std::uint32_t rank)
 {
-    if (!reachable(rank) || chance(faults_.lost_reports))
+    if (has_silent_agent(rank) || chance(faults_.lost_reports))
         return;
     rank_state const state = engines_.state(rank);
     schedule(
@@ -164,15 +235,19 @@
 
 void held_group::elect()
 {
-    for (process const& it : processes_)
+    for (process& it : processes_)
     {
-        if (now_ < it.lease_expiry)
+        bool const is_silent = faults_.early_takeovers &&
+                               now_ < it.suspended_until &&
+                               now_ - it.suspended_at >= silence_limit;
+        if (it.coordinator.is_coordinator() && is_silent)
+            it.replaced = true;
+        if (!it.replaced && now_ < it.lease_expiry)
             return;
     }
-    for (std::size_t n = 0; n < processes_.size(); ++n)
+    for (process& it : processes_)
     {
-        process& it = processes_[n];
-        if (now_ < it.suspended_until)
+        if (now_ < it.suspended_until || it.replaced)
             continue;
         it.lease_expiry = now_ + lease_time;
         ++fence_;
@@ -185,33 +260,52 @@
 void held_group::run_processes()
 {
     elect();
+    bool const reads = now_ >= next_direct_read_;
+    if (reads)
+        next_direct_read_ = now_ + direct_read_interval;
     for (process& it : processes_)
     {
         if (now_ < it.suspended_until)
             continue;
-        if (it.coordinator.is_coordinator() && now_ >= it.lease_expiry)
-            it.coordinator.step_down(now_);
-        if (!it.coordinator.is_coordinator())
-            continue;
-        it.lease_expiry = now_ + lease_time;
-        if (faults_.suspended_coordinators && chance(0.002))
-        {
-            it.suspended_until =
-                now_ +
-                milliseconds{
-                    1000 + static_cast<std::int64_t>(random_.below(4000))};
-            continue;
-        }
-        if (it.coordinator.ready_for_map(now_))
-        {
-            last_local_rank_ = it.local_rank;
-            it.coordinator.start(random_map(), now_);
-        }
-        for (rank_order const& order : it.coordinator.on_tick(now_))
-            send(it, order);
+        if (reads && it.coordinator.is_coordinator())
+            read_directly(it);
+        run(it);
     }
     maps_switched = processes_[0].coordinator.maps_switched() +
                     processes_[1].coordinator.maps_switched();
 }
 
+void held_group::run(process& it)
+{
+    bool const notices = it.replaced ? now_ >= it.suspended_until + notice_time
+                                     : now_ >= it.lease_expiry;
+    if (it.coordinator.is_coordinator() && notices)
+        it.coordinator.step_down(now_);
+    if (!it.coordinator.is_coordinator())
+    {
+        it.replaced = false;
+        return;
+    }
+    if (!it.replaced)
+        it.lease_expiry = now_ + lease_time;
+    bool const enters = it.coordinator.current_phase() != it.last_phase;
+    it.last_phase = it.coordinator.current_phase();
+    bool const suspends = (faults_.suspended_coordinators && chance(0.002)) ||
+                          (enters && chance(faults_.suspended_phases));
+    if (suspends)
+    {
+        suspend(
+            it,
+            milliseconds{500 + static_cast<std::int64_t>(random_.below(4500))});
+        return;
+    }
+    if (it.coordinator.ready_for_map(now_))
+    {
+        last_local_rank_ = it.local_rank;
+        it.coordinator.start(random_map(), now_);
+    }
+    for (rank_order const& order : it.coordinator.on_tick(now_))
+        send(it, order);
+}
+
 } // namespace test
--- a/test/support/held_group.hpp
+++ b/test/support/held_group.hpp
@@ -18,10 +18,20 @@
     double delayed_orders = 0;
     /// Probability that an order arrives a second time, seconds late.
     double duplicated_orders = 0;
+    /// Probability that an order is lost.
+    double lost_orders = 0;
     /// Probability that a report is lost.
     double lost_reports = 0;
     /// Whether processes that coordinate are suspended at random.
     bool suspended_coordinators = false;
+    /// Probability that a coordinator is suspended when its phase changes.
+    double suspended_phases = 0;
+    /// Whether the rank of a suspended process can be read and ordered
+    /// directly.
+    bool reachable_engines = false;
+    /// Whether a suspended coordinator is replaced before its lease expires. It
+    /// goes on for some time when it resumes.
+    bool early_takeovers = false;
     /// Whether ranks are restarted at random.
     bool restarted_ranks = false;
     /// Whether the group has periods without requests, and thus without passes.
@@ -51,6 +61,11 @@
     {
         return engines_;
     }
+    /// \brief Runs until a coordinator is in a phase, and suspends it.
+    void suspend_in(hornbeamweir::hold_coordinator::phase phase);
+
+    /// Longest time without a pass while the group had work.
+    hornbeamweir::duration longest_stall{};
     /// Number of maps switched by the two coordinators in total.
     std::uint64_t maps_switched = 0;
 
@@ -64,12 +79,21 @@
 
         hornbeamweir::hold_coordinator coordinator;
         std::uint32_t local_rank = 0;
+        hornbeamweir::time_point suspended_at{};
         hornbeamweir::time_point suspended_until{};
         hornbeamweir::time_point lease_expiry{};
+        hornbeamweir::hold_coordinator::phase last_phase{};
+        /// Whether another process has taken over before the lease expired.
+        bool replaced = false;
     };
 
     void step();
     void run_processes();
+    void run(process& it);
+    void suspend(process& it, hornbeamweir::duration time);
+    void read_directly(process& reader);
+    [[nodiscard]] bool has_silent_agent(std::uint32_t rank) const;
+    void count_stall();
     void elect();
     void send(process& from, hornbeamweir::rank_order const& order);
     void deliver(hornbeamweir::rank_order const& order);
@@ -91,6 +115,9 @@
     std::optional<std::uint32_t> last_local_rank_;
     hornbeamweir::time_point next_pass_{};
     hornbeamweir::time_point next_report_{};
+    hornbeamweir::time_point next_direct_read_{};
+    hornbeamweir::time_point last_pass_at_{now_};
+    std::uint64_t last_pass_ = 0;
     /// Whether the group has requests to execute.
     bool has_work_ = true;
 };
