Replace a silent coordinator before its lease ends if fences are checked

Change: the setting fences_checked of agents says whether engines reject orders with a lower fencing token. If so, a candidate that has not heard the coordinator for 0.6 s replaces its key, on the condition that the key is unchanged, and has a higher token. A coordinator that did not run for 0.4 s steps down and campaigns again, as it does when it hears a newer one; a candidate that did not run for as long does not replace. A process replaces others at most once in 5 s, since it may be the one cut off. Without the setting the lease is waited for as before.

The coordinator's record in the store also has the address of its rank, which its successor reads and orders directly at once; other ranks have 300 ms to report first. Agents report to a new coordinator at once and ignore heartbeats of a replaced one. Orders with whole maps may take 300 ms instead of 60 ms. Entries are told at once, at most each 50 ms, when a rank stalls or runs again. Flags may be spelled True and False.

--- a/include/hornbeamweir/peers/leadership.hpp
+++ b/include/hornbeamweir/peers/leadership.hpp
@@ -12,6 +12,11 @@
 /// process leads at a time.
 /// \remarks Uses a clock that advances while the process or machine is
 /// suspended, so that a process detects that its lease expired meanwhile.
+/// Where the leader's orders carry fencing tokens that are checked, another
+/// process takes over from a silent leader before its lease expires: it
+/// replaces the leader's key on the condition that it is unchanged, which gives
+/// it a higher token. Two processes may then lead for a short time, and orders
+/// of the earlier one are rejected.
 class leadership
 {
 public:
@@ -20,12 +25,15 @@
     /// \param service Gives access to the store.
     /// \param clock Must advance while the process is suspended.
     /// \param holder Name that is stored as the current leader.
+    /// \param fences_checked Whether whoever receives orders rejects those with
+    /// a lower fencing token than it has seen.
     leadership(
         platform& service,
         event_log& log,
         clock_function clock,
         random_source random,
-        std::string holder);
+        std::string holder,
+        bool fences_checked = false);
     leadership(leadership const&) = delete;
     leadership& operator=(leadership const&) = delete;
     ~leadership() = default;
@@ -54,8 +62,9 @@
         return previous_record_;
     }
 
-    /// \brief Postpones campaigns, as another process leads.
-    void on_leader_alive();
+    /// \brief Postpones campaigns, as another process leads; steps down if it
+    /// has a newer fencing token.
+    void on_leader_alive(std::uint64_t fence);
 
     /// \brief Lets this process campaign without waiting for the leader's
     /// timeout, as the leader has left; see leave().
@@ -78,6 +87,8 @@
 
     /// \brief Returns whether this process leads and its lease cannot have
     /// expired yet.
+    /// \remarks If fencing tokens are checked, also whether it was not
+    /// suspended for so long that another one may have taken over.
     [[nodiscard]] bool is_leader() const;
 
     /// \brief Returns the fencing token: the store's revision at which this
@@ -95,6 +106,10 @@
         result<transaction_reply> const& reply, time_point requested_at);
     void renew();
     void schedule_campaign(duration min_delay);
+    /// \brief Notes who leads; a leader counts as silent from then on.
+    void note_holder(std::int64_t revision);
+    /// \returns Whether a key of this revision may be replaced.
+    [[nodiscard]] bool may_replace(std::int64_t revision) const;
 
     platform& platform_;
     event_log& log_;
@@ -107,6 +122,19 @@
     /// Revision of previous_record_; 0 if there was none.
     std::int64_t previous_revision_ = 0;
     bool record_written_ = false;
+    bool fences_checked_;
+    /// Revision of the leader's key, by its heartbeats or as read; 0 if
+    /// unknown.
+    std::int64_t holder_revision_ = 0;
+    /// Time of the leader's last sign of life.
+    time_point holder_seen_at_{};
+    /// Revision of the leader's key that a campaign replaces; 0 if absent.
+    std::int64_t replaced_revision_ = 0;
+    /// Whether that key is this process's own, of before it stepped down.
+    bool replaces_own_ = false;
+    /// Time at which this process last replaced another leader.
+    time_point replaced_at_{};
+    time_point last_tick_at_{};
     std::int64_t lease_ = 0;
     std::uint64_t fence_ = 0;
     time_point valid_until_{};
--- a/include/hornbeamweir/peers/report_schedule.hpp
+++ b/include/hornbeamweir/peers/report_schedule.hpp
@@ -43,4 +43,18 @@
     time_point experts_reported_at_{};
 };
 
+/// \brief Decides when entries are told whether a rank can serve requests: at
+/// once if that has changed, else at intervals.
+class entry_report_schedule
+{
+public:
+    /// \param serves Whether the rank can serve requests.
+    [[nodiscard]] bool is_due(bool serves, time_point now) const;
+    void on_reported(bool serves, time_point now);
+
+private:
+    bool serves_ = false;
+    time_point reported_at_{};
+};
+
 } // namespace hornbeamweir
--- a/include/hornbeamweir/settings/relay_settings.hpp
+++ b/include/hornbeamweir/settings/relay_settings.hpp
@@ -44,6 +44,9 @@
     std::string rank_address;
     /// Rate of this VM's link; maps are sent at a part of it.
     double link_megabits_per_second = 8;
+    /// Whether engines reject orders with a lower fencing token than they have
+    /// seen. If so, a silent coordinator is replaced before its lease expires.
+    bool fences_checked = false;
     std::string peers_address;
     std::string metrics_address;
     std::string platform_address;
--- a/src/daemon/group_coordination.cpp
+++ b/src/daemon/group_coordination.cpp
@@ -32,14 +32,29 @@
     return state.rank % stride == 0 ? duration{} : delay;
 }
 
-std::optional<std::uint32_t> parse_rank(std::string const& record)
+/// Time in which agents answer the first heartbeat of a coordinator. Earlier,
+/// reading other ranks directly only delays their reports.
+constexpr duration first_report_time = milliseconds{300};
+
+/// What a coordinator leaves in the store for the next one.
+struct coordinator_record
+{
+    /// Rank on its VM.
+    std::optional<std::uint32_t> rank;
+    /// Address of that rank; empty in records of earlier versions.
+    std::string address;
+};
+
+coordinator_record parse_record(std::string const& text)
 {
-    std::uint32_t out = 0;
+    std::uint32_t rank = 0;
+    char const* const end = text.data() + text.size();
     std::from_chars_result const parsed =
-        std::from_chars(record.data(), record.data() + record.size(), out);
+        std::from_chars(text.data(), end, rank);
     if (parsed.ec != std::errc{})
-        return std::nullopt;
-    return out;
+        return {};
+    char const* const address = parsed.ptr == end ? end : parsed.ptr + 1;
+    return {rank, std::string{address, end}};
 }
 
 } // namespace
@@ -52,6 +67,7 @@
     clock_function clock,
     random_source random,
     std::string self,
+    bool fences_checked,
     double link_megabits_per_second,
     std::function<void(std::vector<rank_order> const&)> send)
     : platform_{store}
@@ -60,7 +76,7 @@
     , metrics_{metrics}
     , clock_{clock}
     , send_{std::move(send)}
-    , leadership_{store, log, clock, random, std::move(self)}
+    , leadership_{store, log, clock, random, std::move(self), fences_checked}
     , coordinator_{log, link_megabits_per_second}
     , activity_{log, metrics}
 {
@@ -73,6 +89,7 @@
     rank_ = state.rank;
     ranks_ = state.ranks;
     service_ = service;
+    coordinator_.on_local_map(state.map_version);
     leadership_.set_key(
         "hornbeamweir/groups/" + group_.str() + "/coordinator",
         standby_delay(state));
@@ -86,7 +103,7 @@
     if (beat.left())
         leadership_.on_leader_left();
     else
-        leadership_.on_leader_alive();
+        leadership_.on_leader_alive(beat.fence());
 }
 
 void group_coordination::on_report(wire::rank_report const& report)
@@ -109,9 +126,8 @@
     // A switch takes several rounds of orders; if each round waited for a tick,
     // the switch would take additional forward passes.
     hold_coordinator::phase const phase = coordinator_.current_phase();
-    bool const is_switching = phase == hold_coordinator::phase::holding ||
-                              phase == hold_coordinator::phase::arming ||
-                              phase == hold_coordinator::phase::releasing;
+    bool const is_switching = phase != hold_coordinator::phase::idle &&
+                              phase != hold_coordinator::phase::preparing;
     if (coordinator_.is_coordinator() && is_switching)
         send_due_orders(now);
 }
@@ -183,12 +199,14 @@
     bool const is_leader = leadership_.is_leader();
     if (is_leader && !coordinator_.is_coordinator())
     {
-        addresses_.clear();
+        coordinator_record const previous =
+            parse_record(leadership_.previous_record());
+        took_over_at_ = now;
+        knows_previous_address_ = !previous.address.empty();
+        if (previous.rank && knows_previous_address_)
+            addresses_[*previous.rank] = previous.address;
         coordinator_.become_coordinator(
-            leadership_.fence(),
-            rank_,
-            parse_rank(leadership_.previous_record()),
-            now);
+            leadership_.fence(), rank_, previous.rank, now);
         read_profile();
         read_replicas();
     }
@@ -219,7 +237,8 @@
     // The leadership record names the local rank, which is armed last: the next
     // coordinator has to check how far a change got there.
     if (may_plan && !leadership_.record_written())
-        leadership_.write_record(std::to_string(rank_));
+        leadership_.write_record(
+            std::to_string(rank_) + ' ' + address_of(rank_));
     else if (
         may_plan || (!leaving_ && now - planned_at_ >= plan_interval &&
                      preparing_map_outdated(now)))
@@ -350,8 +369,10 @@
         if (!address.empty())
             out.push_back(std::move(address));
     }
+    bool const awaits_reports =
+        knows_previous_address_ && clock_() - took_over_at_ < first_report_time;
     if (coordinator_.current_phase() != hold_coordinator::phase::clearing ||
-        coordinator_.all_ranks_reported())
+        coordinator_.all_ranks_reported() || awaits_reports)
         return out;
     for (std::string const& address : registered_addresses_)
     {
--- a/src/daemon/group_coordination.hpp
+++ b/src/daemon/group_coordination.hpp
@@ -21,6 +21,8 @@
     using clock_function = time_point (*)() noexcept;
 
     /// \param self Name of this process as a candidate.
+    /// \param fences_checked Whether engines reject orders with a lower fencing
+    /// token; see leadership.
     /// \param send Sends orders to ranks.
     /// \param link_megabits_per_second Rate of this VM's link.
     group_coordination(
@@ -31,6 +33,7 @@
         clock_function clock,
         random_source random,
         std::string self,
+        bool fences_checked,
         double link_megabits_per_second,
         std::function<void(std::vector<rank_order> const&)> send);
     group_coordination(group_coordination const&) = delete;
@@ -135,6 +138,9 @@
     hold_coordinator::phase phase_ = hold_coordinator::phase::idle;
     time_point phase_began_at_{};
     std::uint64_t counted_switches_ = 0;
+    time_point took_over_at_{};
+    /// Whether the address of the previous coordinator's rank is known.
+    bool knows_previous_address_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/daemon/rank_agent_daemon.cpp
+++ b/src/daemon/rank_agent_daemon.cpp
@@ -6,8 +6,10 @@
 #include <hornbeamweir/telemetry/console_log.hpp>
 
 #include "admin_endpoint.hpp"
+#include "coordinator_contact.hpp"
 #include "daemon_loop.hpp"
 #include "group_coordination.hpp"
+#include "order_log.hpp"
 #include "order_sender.hpp"
 #include "rank_monitor.hpp"
 
@@ -23,12 +25,8 @@
 
 constexpr std::string_view agent_role = "agent";
 constexpr std::string_view entry_role = "entry";
-/// Entries need only whether the rank makes progress, and its slowdown.
-constexpr duration entry_report_interval = milliseconds{200};
 constexpr duration heartbeat_interval = milliseconds{200};
 constexpr duration traffic_interval = std::chrono::seconds{1};
-/// Time after the last heartbeat for which reports are sent to a coordinator.
-constexpr duration coordinator_timeout = milliseconds{1500};
 /// Long enough for a map change and a call to the store; the platform kills the
 /// process after several seconds.
 constexpr duration max_leave_time = std::chrono::seconds{3};
@@ -70,7 +68,7 @@
         , monitor_{rank_, log_, suspend_aware_now, settings_.rank_address, settings_.service, [this](rank_state const& state) { on_rank_state(state); }}
         , admin_{loop_.context(), settings_.metrics_address, metrics_, admin_pages{[this] { return monitor_.has_state(); }, [this] { return status(); }, {}}}
         , platform_{connect(loop_.context(), settings_.platform_address)}
-        , coordination_{*platform_, records, log_, metrics_, suspend_aware_now, random_source{random_.next()}, settings_.name.str(), settings_.link_megabits_per_second, [this](std::vector<rank_order> const& orders) { orders_.send(orders, suspend_aware_now()); }}
+        , coordination_{*platform_, records, log_, metrics_, suspend_aware_now, random_source{random_.next()}, settings_.name.str(), settings_.fences_checked, settings_.link_megabits_per_second, [this](std::vector<rank_order> const& orders) { orders_.send(orders, suspend_aware_now()); }}
         , registry_{loop_.context(), *platform_, log_, std::string{agent_role}, settings_.name, udp_endpoint(settings_.peers_address)}
         , link_{loop_.context(), udp_endpoint(settings_.peers_address), std::string{agent_role}, settings_.name.str(), random_.next(), metrics_, [this](udp_address const& from, wire::datagram const& message) { on_datagram(from, message); }}
         , orders_{coordination_, link_, log_, settings_.rank_address, {[this](rank_order const& order) { execute(order); }, [this](std::string const& address, rank_order const& order) { execute_directly(address, order); }}}
@@ -134,21 +132,20 @@
     /// Whether a coordinator, in this process or reachable, needs reports.
     [[nodiscard]] bool must_report(time_point now) const
     {
-        return coordination_.is_coordinator() ||
-               now - last_heartbeat_at_ <= coordinator_timeout;
+        return coordination_.is_coordinator() || coordinator_.is_reachable(now);
     }
 
     void on_rank_state(rank_state const& state)
     {
         time_point const now = suspend_aware_now();
         coordination_.on_local_rank(state, service_name{settings_.service});
-        if (now - entries_reported_at_ >= entry_report_interval)
+        bool const serves = state.group_formed && !monitor_.is_stalled();
+        if (entry_reports_.is_due(serves, now))
         {
-            entries_reported_at_ = now;
+            entry_reports_.on_reported(serves, now);
             wire::datagram message;
             *message.mutable_report() = monitor_.report_of(state);
-            message.mutable_report()->set_open(
-                state.group_formed && !monitor_.is_stalled());
+            message.mutable_report()->set_open(serves);
             for (auto const& [name, to] :
                  registry_.peers(std::string{entry_role}))
                 link_.send(to, message);
@@ -169,7 +166,7 @@
         }
         wire::datagram message;
         *message.mutable_report() = std::move(report);
-        link_.send(coordinator_, message);
+        link_.send(coordinator_.address(), message);
     }
 
     void send_heartbeats(time_point now, bool left = false)
@@ -194,7 +191,7 @@
                 if (is_accepted(status) &&
                     order.operation == rank_operation::prepare)
                     monitor_.on_prepare_accepted(order.version);
-                log_order(order, status);
+                log_rank_order(log_, order, status);
                 monitor_.read_now([this, fenced](rank_state const& state)
                                   { report_to_coordinator(state, fenced); });
             });
@@ -207,7 +204,7 @@
             order,
             [this, address, order](result<unsigned> const& status)
             {
-                log_order(order, status);
+                log_rank_order(log_, order, status);
                 if (is_accepted(status))
                     coordination_.on_accepted(order);
                 else
@@ -263,23 +260,6 @@
             read_directly(address);
     }
 
-    void log_order(rank_order const& order, result<unsigned> const& status)
-    {
-        event line{"rank_order"};
-        line.with("rank", order.rank)
-            .with("operation", name_of(order.operation))
-            .with("version", order.version)
-            .with("step", order.step)
-            .with("epoch", order.epoch)
-            .with("fence", order.fence)
-            .with("expected_orders", order.expected_orders);
-        if (status)
-            line.with("status", *status);
-        else
-            line.with("failure", status.error().message);
-        log_.info(line);
-    }
-
     void on_datagram(udp_address const& from, wire::datagram const& message)
     {
         process_name const sender{message.sender()};
@@ -287,16 +267,8 @@
         time_point const now = suspend_aware_now();
         if (message.has_beat())
         {
-            if (message.beat().group() != coordination_.group().str())
-                return;
-            if (!message.beat().left())
-            {
-                if (coordinator_ != from)
-                    monitor_.on_new_coordinator();
-                coordinator_ = from;
-                last_heartbeat_at_ = now;
-            }
-            coordination_.on_coordinator_heartbeat(message.beat());
+            if (message.beat().group() == coordination_.group().str())
+                on_heartbeat(from, message.beat(), now);
         }
         else if (message.has_report())
         {
@@ -314,6 +286,25 @@
         }
     }
 
+    // A new coordinator may have to release a pass, for which it needs the
+    // states of all ranks.
+    void on_heartbeat(
+        udp_address const& from,
+        wire::coordinator_beat const& beat,
+        time_point now)
+    {
+        if (coordinator_.is_replaced(beat.fence(), now))
+            return;
+        bool const is_new =
+            !beat.left() && coordinator_.on_heartbeat(from, beat.fence(), now);
+        coordination_.on_coordinator_heartbeat(beat);
+        if (!is_new)
+            return;
+        monitor_.on_new_coordinator();
+        monitor_.read_now([this](rank_state const& state)
+                          { report_to_coordinator(state, false); });
+    }
+
     /// Records the map of a prepare order, and restores it if only the
     /// difference to an earlier one was sent.
     /// \returns False if the earlier map is not known here, or another one; the
@@ -369,9 +360,8 @@
     peer_registry registry_;
     datagram_link link_;
     order_sender orders_;
-    udp_address coordinator_;
-    time_point last_heartbeat_at_{};
-    time_point entries_reported_at_{};
+    coordinator_contact coordinator_;
+    entry_report_schedule entry_reports_;
     time_point heartbeat_sent_at_{};
     time_point stale_ranks_read_at_{};
     time_point traffic_written_at_{};
--- a/src/daemon/rank_client.cpp
+++ b/src/daemon/rank_client.cpp
@@ -17,6 +17,9 @@
 /// Response timeout of an order; a rank may still carry out an order that has
 /// timed out.
 constexpr duration order_timeout = milliseconds{60};
+/// The same for an order with a whole map, which takes a link of 8 Mbit/s tens
+/// of milliseconds, behind those for other ranks.
+constexpr duration prepare_timeout = milliseconds{300};
 constexpr duration connect_timeout = milliseconds{200};
 /// Size of the longest response, the experts of a rank, with ample room.
 constexpr std::size_t max_response_bytes = std::size_t{4} * 1024 * 1024;
@@ -155,7 +158,8 @@
     call(
         address,
         codec_.order_request(order),
-        order_timeout,
+        order.operation == rank_operation::prepare ? prepare_timeout
+                                                   : order_timeout,
         [done](result<std::pair<unsigned, std::string>> const& response)
         {
             if (response)
--- a/src/peers/leadership.cpp
+++ b/src/peers/leadership.cpp
@@ -1,5 +1,7 @@
 #include <hornbeamweir/peers/leadership.hpp>
 
+#include <algorithm>
+
 namespace hornbeamweir
 {
 
@@ -19,9 +21,23 @@
 /// Time without contact to a leader after which others campaign.
 constexpr duration leader_timeout = milliseconds{700};
 constexpr duration campaign_interval = milliseconds{350};
+/// Time without contact to a leader after which it is replaced if fencing
+/// tokens are checked: three heartbeats were lost.
+constexpr duration silence_limit = milliseconds{600};
+/// A process that has not run for this time may have been replaced, and has not
+/// heard a leader that is alive. Less than silence_limit.
+constexpr duration max_tick_gap = milliseconds{400};
+/// Interval of campaigns while a leader is silent and may be replaced.
+constexpr duration replace_interval = milliseconds{100};
+/// A process replaces silent leaders no more often than this: it may be the one
+/// that is cut off from them, and they would replace it in turn.
+constexpr duration min_replacement_interval = std::chrono::seconds{5};
 /// Upper limit of the random delay that keeps campaigns of several processes
 /// apart.
 constexpr duration max_campaign_jitter = milliseconds{400};
+/// The same if a leader may be replaced. Campaigns that collide cost only
+/// calls, as the commit lets one of them succeed.
+constexpr duration max_replace_jitter = milliseconds{100};
 
 } // namespace
 
@@ -30,19 +46,23 @@
     event_log& log,
     clock_function clock,
     random_source random,
-    std::string holder)
+    std::string holder,
+    bool fences_checked)
     : platform_{service}
     , log_{log}
     , clock_{clock}
     , random_{random}
     , holder_{std::move(holder)}
+    , fences_checked_{fences_checked}
 {
 }
 
 void leadership::schedule_campaign(duration min_delay)
 {
+    duration const max_jitter =
+        fences_checked_ ? max_replace_jitter : max_campaign_jitter;
     double const jitter =
-        static_cast<double>(max_campaign_jitter.count()) * random_.unit();
+        static_cast<double>(max_jitter.count()) * random_.unit();
     next_action_ = clock_() + min_delay + standby_delay_ +
                    duration{static_cast<duration::rep>(jitter)};
 }
@@ -56,10 +76,36 @@
     schedule_campaign({});
 }
 
-void leadership::on_leader_alive()
+void leadership::on_leader_alive(std::uint64_t fence)
 {
+    std::int64_t const revision = static_cast<std::int64_t>(fence);
+    // An earlier leader may have resumed and not noticed its successor yet.
+    if (revision < holder_revision_)
+        return;
+    if (valid_until_ != time_point{} && fence > fence_)
+        step_down();
+    note_holder(revision);
     if (!is_leader())
-        schedule_campaign(leader_timeout);
+        schedule_campaign(fences_checked_ ? silence_limit : leader_timeout);
+}
+
+void leadership::note_holder(std::int64_t revision)
+{
+    holder_revision_ = revision;
+    holder_seen_at_ = clock_();
+}
+
+// A process that has led may replace its own key at once.
+bool leadership::may_replace(std::int64_t revision) const
+{
+    if (!fences_checked_)
+        return false;
+    bool const is_own = revision == static_cast<std::int64_t>(fence_);
+    time_point const now = clock_();
+    bool const is_silent = revision == holder_revision_ &&
+                           now - holder_seen_at_ >= silence_limit &&
+                           now - replaced_at_ >= min_replacement_interval;
+    return is_own || is_silent;
 }
 
 void leadership::on_leader_left()
@@ -115,11 +161,29 @@
 
 bool leadership::is_leader() const
 {
-    return clock_() < valid_until_;
+    time_point const now = clock_();
+    bool const was_suspended =
+        fences_checked_ && now - last_tick_at_ > max_tick_gap;
+    return now < valid_until_ && !was_suspended;
 }
 
 void leadership::on_tick()
 {
+    time_point const now = clock_();
+    if (fences_checked_ && now - last_tick_at_ > max_tick_gap)
+    {
+        // The leader's heartbeats of that time may still be unread.
+        holder_seen_at_ = now;
+        if (valid_until_ != time_point{})
+        {
+            event line{"leadership_interrupted"};
+            line.with("key", key_).with("fence", fence_);
+            log_.warning(line);
+            valid_until_ = {};
+            schedule_campaign({});
+        }
+    }
+    last_tick_at_ = now;
     if (left_ || call_pending_ || key_.empty() || clock_() < next_action_)
         return;
     if (is_leader())
@@ -150,10 +214,26 @@
 
 void leadership::on_read(result<range_reply> const& reply)
 {
-    if (!reply || reply->values.contains(key_ + std::string{holder_suffix}))
+    if (!reply)
     {
         call_pending_ = false;
-        schedule_campaign(campaign_interval);
+        schedule_campaign(
+            fences_checked_ ? replace_interval : campaign_interval);
+        return;
+    }
+    auto const holder = reply->values.find(key_ + std::string{holder_suffix});
+    bool const is_held = holder != reply->values.end();
+    replaced_revision_ = is_held ? holder->second.modify_revision : 0;
+    replaces_own_ = replaced_revision_ == static_cast<std::int64_t>(fence_);
+    if (is_held && !may_replace(replaced_revision_))
+    {
+        call_pending_ = false;
+        if (replaced_revision_ > holder_revision_)
+            note_holder(replaced_revision_);
+        duration const unseen = clock_() - holder_seen_at_;
+        schedule_campaign(
+            fences_checked_ ? std::max(replace_interval, silence_limit - unseen)
+                            : campaign_interval);
         return;
     }
     auto const last = reply->values.find(key_ + std::string{record_suffix});
@@ -184,7 +264,7 @@
     std::string const holder_key = key_ + std::string{holder_suffix};
     std::string const record_key = key_ + std::string{record_suffix};
     transaction acquire;
-    acquire.conditions.push_back({holder_key, 0});
+    acquire.conditions.push_back({holder_key, replaced_revision_});
     acquire.conditions.push_back({record_key, previous_revision_});
     acquire.writes.push_back({holder_key, holder_, lease_});
     platform_.commit(
@@ -207,11 +287,15 @@
         return;
     fence_ = static_cast<std::uint64_t>(reply->revision);
     record_written_ = false;
+    if (replaced_revision_ != 0 && !replaces_own_)
+        replaced_at_ = clock_();
+    note_holder(reply->revision);
     valid_until_ = requested_at + lease_time - validity_margin;
     next_action_ = clock_() + renewal_interval;
     event line{"leadership_acquired"};
     line.with("key", key_)
         .with("fence", fence_)
+        .with("replaced", replaced_revision_)
         .with("previous", previous_record_);
     log_.info(line);
 }
@@ -252,6 +336,9 @@
             if (weak.expired())
                 return;
             call_pending_ = false;
+            // Stepped down meanwhile.
+            if (valid_until_ == time_point{})
+                return;
             if (remaining)
             {
                 valid_until_ = requested_at + lease_time - validity_margin;
--- a/src/peers/report_schedule.cpp
+++ b/src/peers/report_schedule.cpp
@@ -18,6 +18,11 @@
 constexpr duration report_delay = milliseconds{50};
 /// Interval at which reports include the experts, if they are the same.
 constexpr duration experts_interval = milliseconds{1000};
+/// Entries need only whether the rank makes progress, and its slowdown.
+constexpr duration entry_report_interval = milliseconds{200};
+/// Interval of reports of changes, so that a rank that changes at each reading
+/// sends at most four times as many.
+constexpr duration min_entry_report_interval = milliseconds{50};
 
 } // namespace
 
@@ -65,4 +70,17 @@
     reported_at_ = now;
 }
 
+bool entry_report_schedule::is_due(bool serves, time_point now) const
+{
+    duration const interval =
+        serves == serves_ ? entry_report_interval : min_entry_report_interval;
+    return now - reported_at_ >= interval;
+}
+
+void entry_report_schedule::on_reported(bool serves, time_point now)
+{
+    serves_ = serves;
+    reported_at_ = now;
+}
+
 } // namespace hornbeamweir
--- a/src/settings/relay_settings.cpp
+++ b/src/settings/relay_settings.cpp
@@ -45,6 +45,7 @@
         out.link_megabits_per_second,
         {0.1, 1e6},
         presence::optional);
+    in.flag("fences_checked", out.fences_checked, presence::optional);
     in.address("peers_address", out.peers_address, presence::required);
     in.address("metrics_address", out.metrics_address, presence::required);
     in.address("platform_address", out.platform_address, presence::required);
--- a/src/settings/yaml_object.cpp
+++ b/src/settings/yaml_object.cpp
@@ -144,8 +144,10 @@
     std::string value;
     if (!scalar(node, key, value, "true or false"))
         return;
-    if (value == "true" || value == "false")
-        out = value == "true";
+    // YAML's core schema allows both spellings.
+    bool const is_true = value == "true" || value == "True";
+    if (is_true || value == "false" || value == "False")
+        out = is_true;
     else
         add_fault(node, key, "\"" + value + "\"", "true or false");
 }
--- a/test/expert_map/report_schedule_test.cpp
+++ b/test/expert_map/report_schedule_test.cpp
@@ -97,3 +97,20 @@
     CHECK(schedule.includes_experts(state, now + milliseconds{260}));
     CHECK(schedule.is_due(state, false, now + milliseconds{260}));
 }
+
+// Entries went on sending to a stalled group until the next report.
+TEST_CASE("entries are told at once that a rank stalls or runs again")
+{
+    hornbeamweir::entry_report_schedule schedule;
+    hornbeamweir::time_point now{std::chrono::seconds{100}};
+    CHECK(schedule.is_due(true, now));
+    schedule.on_reported(true, now);
+    now += std::chrono::milliseconds{60};
+    CHECK_FALSE(schedule.is_due(true, now));
+    CHECK(schedule.is_due(false, now));
+    schedule.on_reported(false, now);
+    // A rank that changes all the time sends a bounded number of reports.
+    now += std::chrono::milliseconds{20};
+    CHECK_FALSE(schedule.is_due(true, now));
+    CHECK(schedule.is_due(false, now + std::chrono::milliseconds{200}));
+}
--- /dev/null
+++ b/test/peers/leadership_test.cpp
@@ -0,0 +1,175 @@
+#include <hornbeamweir/peers/leadership.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+using namespace hornbeamweir;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+time_point now{std::chrono::seconds{100}};
+
+time_point test_clock() noexcept
+{
+    return now;
+}
+
+/// \brief A store that answers each call at the next tick. Leases do not
+/// expire, as in the time in which a silent leader is to be replaced.
+class lasting_store final : public platform
+{
+public:
+    void read_prefix(std::string prefix, handler<range_reply> done) override
+    {
+        range_reply reply;
+        for (auto const& [key, value] : values_)
+        {
+            if (key.starts_with(prefix))
+                reply.values.emplace(key, value);
+        }
+        answer([reply, done] { done(reply); });
+    }
+    void read(std::string key, handler<range_reply> done) override
+    {
+        read_prefix(std::move(key), std::move(done));
+    }
+    void commit(transaction request, handler<transaction_reply> done) override
+    {
+        bool holds = true;
+        for (key_condition const& it : request.conditions)
+        {
+            auto const found = values_.find(it.key);
+            holds = holds &&
+                    it.modify_revision == (found == values_.end()
+                                               ? 0
+                                               : found->second.modify_revision);
+        }
+        revision_ += holds ? 1 : 0;
+        for (key_write const& it : request.writes)
+        {
+            if (holds)
+                values_[it.key] = {*it.value, revision_, revision_};
+        }
+        transaction_reply const reply{holds, revision_, {}};
+        answer([reply, done] { done(reply); });
+    }
+    void grant_lease(duration, handler<std::int64_t> done) override
+    {
+        answer([done] { done(1); });
+    }
+    void keep_alive(std::int64_t, handler<duration> done) override
+    {
+        answer([done] { done(duration{1}); });
+    }
+    std::unique_ptr<watch_handle> watch_prefix(
+        std::string,
+        std::int64_t,
+        std::function<void(std::vector<watch_event>)>,
+        std::function<void(error)>) override
+    {
+        return nullptr;
+    }
+    void deliver()
+    {
+        std::deque<std::function<void()>> const due = std::move(answers_);
+        answers_.clear();
+        for (std::function<void()> const& it : due)
+            it();
+    }
+
+private:
+    void answer(std::function<void()> action)
+    {
+        answers_.push_back(std::move(action));
+    }
+
+    std::map<std::string, stored_value> values_;
+    std::int64_t revision_ = 1;
+    std::deque<std::function<void()>> answers_;
+};
+
+struct candidates
+{
+    explicit candidates(bool fences_checked)
+        : first{store, log, test_clock, random_source{1}, "a", fences_checked}
+        , second{store, log, test_clock, random_source{2}, "b", fences_checked}
+    {
+        first.set_key("k");
+        run(milliseconds{1000}, true);
+        second.set_key("k");
+    }
+
+    void run(duration time, bool first_runs)
+    {
+        constexpr duration tick = milliseconds{10};
+        for (time_point const end = now + time; now < end; now += tick)
+        {
+            store.deliver();
+            if (first_runs)
+                first.on_tick();
+            second.on_tick();
+            if (first_runs && first.is_leader())
+                second.on_leader_alive(first.fence());
+        }
+    }
+
+    lasting_store store;
+    null_event_log log;
+    leadership first;
+    leadership second;
+};
+
+} // namespace
+
+// A group stalled for 1.66 s until the lease of its suspended coordinator had
+// expired.
+TEST_CASE("a silent leader is replaced before its lease expires")
+{
+    candidates it{true};
+    REQUIRE(it.first.is_leader());
+    it.run(milliseconds{2000}, true);
+    CHECK_FALSE(it.second.is_leader());
+    it.run(milliseconds{800}, false);
+    CHECK(it.second.is_leader());
+    CHECK(it.second.fence() > it.first.fence());
+    // The first one has been suspended, and resumes: it notices by itself.
+    CHECK_FALSE(it.first.is_leader());
+    it.first.on_leader_alive(it.second.fence());
+    it.run(milliseconds{300}, true);
+    CHECK_FALSE(it.first.is_leader());
+    CHECK(it.second.is_leader());
+}
+
+TEST_CASE("without fence checks a leader is replaced when its lease expires")
+{
+    candidates it{false};
+    REQUIRE(it.first.is_leader());
+    it.run(milliseconds{5000}, false);
+    CHECK_FALSE(it.second.is_leader());
+}
+
+// An agent that was suspended itself has not heard the leader for that reason.
+TEST_CASE("a candidate that resumes does not replace a leader that is alive")
+{
+    candidates it{true};
+    std::uint64_t const fence = it.first.fence();
+    it.run(milliseconds{500}, true);
+    for (int n = 0; n < 100; ++n, now += milliseconds{10})
+    {
+        it.store.deliver();
+        it.first.on_tick();
+    }
+    it.run(milliseconds{1000}, true);
+    CHECK(it.first.is_leader());
+    CHECK(it.first.fence() == fence);
+}
+
+TEST_CASE("a leader that hears a newer one steps down")
+{
+    candidates it{true};
+    it.first.on_leader_alive(it.first.fence() + 1);
+    CHECK_FALSE(it.first.is_leader());
+}
--- a/test/settings/process_settings_test.cpp
+++ b/test/settings/process_settings_test.cpp
@@ -135,3 +135,24 @@
     CHECK(settings->retry_allowance == Approx(38.8235));
     CHECK(settings->retry_window_s == Approx(9.5));
 }
+
+// An agent that is not told so must not rely on engines that check fences.
+TEST_CASE("engines check fencing tokens only if the settings say so")
+{
+    std::string const text = R"(name: a1
+data_centre: a
+service: lm
+rank_address: 127.0.0.1:1
+peers_address: 127.0.0.1:2
+metrics_address: 127.0.0.1:3
+platform_address: 127.0.0.1:4
+)";
+    settings_result<rank_agent_settings> const without =
+        read_rank_agent_settings(text, "a.yaml");
+    REQUIRE(without);
+    CHECK_FALSE(without->fences_checked);
+    settings_result<rank_agent_settings> const with =
+        read_rank_agent_settings(text + "fences_checked: true\n", "a.yaml");
+    REQUIRE(with);
+    CHECK(with->fences_checked);
+}
