Say why late orders of a suspended coordinator mix no maps

Ranks armed for different passes are disarmed only once a rank has given the map up, as all others are; such a state was never reported, except by old reports.

--- a/include/hornbeamweir/expert_map/hold_coordinator.hpp
+++ b/include/hornbeamweir/expert_map/hold_coordinator.hpp
@@ -19,7 +19,7 @@
 /// order of a later change, it rejects delayed duplicates of earlier ones.
 /// Ranks are armed for a pass only while it is held. It is released only when
 /// all ranks are armed, or when no rank is armed and delayed arm orders can no
-/// longer take effect. docs/design/expert_map.md has the argument.
+/// longer take effect. docs/design/platform.md has the argument.
 class hold_coordinator
 {
 public:
--- a/src/expert_map/hold_clearing.cpp
+++ b/src/expert_map/hold_clearing.cpp
@@ -208,8 +208,7 @@
             unrestored.push_back(rank);
     }
     restore_map(unrestored, now, out);
-    // Ranks armed for different passes can't all be armed for one.
-    if (!disarming_ && same_target)
+    if (!disarming_)
         return;
     for (std::uint32_t const rank : armed)
     {
