Wait for an absent rank if its coordinator may still act

Cause: after an early takeover a successor took the absent rank of the previous coordinator for unarmed, as that rank is armed last. The earlier coordinator can begin a change in which another rank is last.

Change: if fences are checked, clearing waits for that rank's report.

--- a/include/hornbeamweir/expert_map/hold_coordinator.hpp
+++ b/include/hornbeamweir/expert_map/hold_coordinator.hpp
@@ -41,10 +41,15 @@
 
     /// \param link_megabits_per_second Rate of the link over which orders are
     /// sent; maps use half of it, so that reports and renewals get through.
+    /// \param replaced_early Whether an earlier coordinator may go on for some
+    /// time, so that no rank can be inferred to be unarmed.
     explicit hold_coordinator(
-        event_log& log, double link_megabits_per_second = 8)
+        event_log& log,
+        double link_megabits_per_second = 8,
+        bool replaced_early = false)
         : log_{log}
         , link_megabits_per_second_{link_megabits_per_second}
+        , replaced_early_{replaced_early}
     {
     }
 
@@ -284,6 +289,7 @@
 
     event_log& log_;
     double link_megabits_per_second_;
+    bool replaced_early_;
     bool leading_ = false;
     std::uint64_t fence_ = 0;
     std::uint32_t local_rank_ = 0;
--- a/src/daemon/group_coordination.cpp
+++ b/src/daemon/group_coordination.cpp
@@ -77,7 +77,7 @@
     , clock_{clock}
     , send_{std::move(send)}
     , leadership_{store, log, clock, random, std::move(self), fences_checked}
-    , coordinator_{log, link_megabits_per_second}
+    , coordinator_{log, link_megabits_per_second, fences_checked}
     , activity_{log, metrics}
 {
 }
--- a/src/expert_map/hold_clearing.cpp
+++ b/src/expert_map/hold_clearing.cpp
@@ -33,11 +33,14 @@
 
 } // namespace
 
-// A VM that fails takes down both the coordinator and its local rank.
+// A VM that fails takes down both the coordinator and its local rank. A
+// coordinator that was replaced early may still have begun a change, for which
+// the record names another rank than the one that it arms last.
 std::optional<std::uint32_t>
 hold_coordinator::missing_previous_rank(time_point now) const
 {
-    if (!previous_local_rank_ || now - phase_entered_ < previous_read_timeout)
+    if (replaced_early_ || !previous_local_rank_ ||
+        now - phase_entered_ < previous_read_timeout)
         return std::nullopt;
     auto const it = views_.find(*previous_local_rank_);
     bool const reported =
--- a/test/support/held_group.cpp
+++ b/test/support/held_group.cpp
@@ -28,7 +28,9 @@
     : random_{seed}
     , faults_{faults}
     , engines_{ranks, copy_time, reform_time}
-    , processes_{process{log_}, process{log_}}
+    , processes_{
+          process{log_, faults.early_takeovers},
+          process{log_, faults.early_takeovers}}
 {
     engines_.check_fences(faults.engines_check_fences);
     processes_[0].local_rank = 0;
--- a/test/support/held_group.hpp
+++ b/test/support/held_group.hpp
@@ -72,8 +72,8 @@
 private:
     struct process
     {
-        explicit process(hornbeamweir::event_log& log)
-            : coordinator{log}
+        process(hornbeamweir::event_log& log, bool replaced_early)
+            : coordinator{log, 8, replaced_early}
         {
         }
 
