--- a/src/daemon/group_coordination.cpp
+++ b/src/daemon/group_coordination.cpp
@@ -1,7 +1,8 @@
 #include "group_coordination.hpp"
 
+#include "coordinator_record.hpp"
+
 #include <algorithm>
-#include <charconv>
 
 namespace hornbeamweir
 {
@@ -29,27 +30,6 @@
 /// reading other ranks directly only delays their reports.
 constexpr duration first_report_time = milliseconds{300};
 
-/// What a coordinator leaves in the store for the next one.
-struct coordinator_record
-{
-    /// Rank on its VM.
-    std::optional<std::uint32_t> rank;
-    /// Address of that rank; empty in records of earlier versions.
-    std::string address;
-};
-
-coordinator_record parse_record(std::string const& text)
-{
-    std::uint32_t rank = 0;
-    char const* const end = text.data() + text.size();
-    std::from_chars_result const parsed =
-        std::from_chars(text.data(), end, rank);
-    if (parsed.ec != std::errc{})
-        return {};
-    char const* const address = parsed.ptr == end ? end : parsed.ptr + 1;
-    return {rank, std::string{address, end}};
-}
-
 } // namespace
 
 group_coordination::group_coordination(
@@ -194,7 +174,7 @@
     if (is_leader && !coordinator_.is_coordinator())
     {
         coordinator_record const previous =
-            parse_record(leadership_.previous_record());
+            parse_coordinator_record(leadership_.previous_record());
         took_over_at_ = now;
         knows_previous_address_ = !previous.address.empty();
         if (previous.rank && knows_previous_address_)
