Replace only leaders whose heartbeats were heard

Cause: at the start of a fleet, agents don't know each other's addresses yet, so heartbeats reach few of them. Change: a leader is replaced early only by a process that has heard its heartbeats; else the lease is waited for. Measured: the new test fails without the change and passes with it; test-peers, test-expert_map and the agents' tests of test-platform pass.

--- a/include/hornbeamweir/peers/leadership.hpp
+++ b/include/hornbeamweir/peers/leadership.hpp
@@ -126,6 +126,8 @@
     /// Revision of the leader's key, by its heartbeats or as read; 0 if
     /// unknown.
     std::int64_t holder_revision_ = 0;
+    /// Revision of the key of the leader whose heartbeats were last heard.
+    std::int64_t heard_revision_ = 0;
     /// Time of the leader's last sign of life.
     time_point holder_seen_at_{};
     /// Revision of the leader's key that a campaign replaces; 0 if absent.
--- a/src/peers/leadership.cpp
+++ b/src/peers/leadership.cpp
@@ -85,6 +85,7 @@
     if (valid_until_ != time_point{} && fence > fence_)
         step_down();
     note_holder(revision);
+    heard_revision_ = revision;
     if (!is_leader())
         schedule_campaign(fences_checked_ ? silence_limit : leader_timeout);
 }
@@ -95,7 +96,9 @@
     holder_seen_at_ = clock_();
 }
 
-// A process that has led may replace its own key at once.
+// Only a leader that was heard before can be silent: at the start of a fleet,
+// processes that don't know each other yet would replace each other in turn. A
+// process that has led may replace its own key at once.
 bool leadership::may_replace(std::int64_t revision) const
 {
     if (!fences_checked_)
@@ -103,6 +106,7 @@
     bool const is_own = revision == static_cast<std::int64_t>(fence_);
     time_point const now = clock_();
     bool const is_silent = revision == holder_revision_ &&
+                           revision == heard_revision_ &&
                            now - holder_seen_at_ >= silence_limit &&
                            now - replaced_at_ >= min_replacement_interval;
     return is_own || is_silent;
--- a/test/peers/leadership_test.cpp
+++ b/test/peers/leadership_test.cpp
@@ -143,6 +143,25 @@
     CHECK(it.second.is_leader());
 }
 
+// At the start of a fleet, candidates that did not know each other's addresses
+// yet replaced one leader after the other.
+TEST_CASE("a leader that was never heard is not replaced before its lease ends")
+{
+    candidates it{true};
+    leadership newcomer{
+        it.store, it.log, test_clock, random_source{3}, "c", true};
+    newcomer.set_key("k");
+    constexpr duration tick = milliseconds{10};
+    for (int n = 0; n < 300; ++n, now += tick)
+    {
+        it.store.deliver();
+        it.first.on_tick();
+        newcomer.on_tick();
+    }
+    CHECK(it.first.is_leader());
+    CHECK_FALSE(newcomer.is_leader());
+}
+
 TEST_CASE("without fence checks a leader is replaced when its lease expires")
 {
     candidates it{false};
