Arm one rank alone before the coordinator's own

Cause: a coordinator that is suspended just after it has sent the orders to arm leaves all other ranks armed. Change: once all other ranks are armed, one more is armed alone, and only then the local rank. Orders in transit at a suspension thus leave a rank that is not armed, which shows that the local one is not either. The argument about late orders is unchanged: the local rank is still ordered last. Measured: the new test stalls for 10 s (its limit) with the order of arming before, and passes with this one; all 17 cases of [hold] pass.

--- a/include/hornbeamweir/expert_map/hold_coordinator.hpp
+++ b/include/hornbeamweir/expert_map/hold_coordinator.hpp
@@ -254,6 +254,8 @@
     void run_idle(time_point now, orders& out);
     void run_preparing(time_point now, orders& out);
     void run_holding(time_point now, orders& out);
+    /// Ranks that are armed one after the other, once all others are.
+    [[nodiscard]] std::vector<std::uint32_t> ranks_armed_in_turn() const;
     void run_arming(time_point now, orders& out);
     void run_releasing(time_point now, orders& out);
     void run_clearing(time_point now, orders& out);
--- a/src/expert_map/hold_phases.cpp
+++ b/src/expert_map/hold_phases.cpp
@@ -148,20 +148,36 @@
 
 // A successor takes the rank on the VM of the coordinator that began the change
 // for unarmed while any other is, so that rank is armed last: the local rank,
-// or for a change of an earlier coordinator, the rank on that one's VM.
-void hold_coordinator::run_arming(time_point now, orders& out)
+// or for a change of an earlier coordinator, the rank on that one's VM. Before
+// it, one more rank is armed alone: if this process is suspended while the
+// orders to the others are in transit, that rank shows the successor that the
+// last one can't be armed.
+std::vector<std::uint32_t> hold_coordinator::ranks_armed_in_turn() const
 {
-    std::vector<std::uint32_t> last{local_rank_};
+    std::uint32_t const ranks = views_.begin()->second.state.ranks;
+    bool const avoids_previous =
+        resumed_ && hold_rank() == previous_local_rank_;
+    std::uint32_t const witness =
+        avoids_previous ? (hold_rank() + 1) % ranks : hold_rank();
+    std::vector<std::uint32_t> out;
+    if (witness != local_rank_)
+        out.push_back(witness);
+    out.push_back(local_rank_);
     if (resumed_ && previous_local_rank_)
-        last.push_back(*previous_local_rank_);
-    std::vector<std::uint32_t> unarmed;
+        out.push_back(*previous_local_rank_);
+    return out;
+}
+
+void hold_coordinator::run_arming(time_point now, orders& out)
+{
+    std::set<std::uint32_t> unarmed;
     for (auto const& [rank, view] : views_)
     {
         bool const armed = view.state.map_version == version_ ||
                            (view.state.armed_version == version_ &&
                             view.state.armed_step == step_);
         if (!armed)
-            unarmed.push_back(rank);
+            unarmed.insert(rank);
     }
     if (unarmed.empty())
     {
@@ -169,23 +185,21 @@
         run_releasing(now, out);
         return;
     }
+    std::vector<std::uint32_t> const in_turn = ranks_armed_in_turn();
     bool others_armed = true;
     for (std::uint32_t const rank : unarmed)
     {
-        if (std::find(last.begin(), last.end(), rank) != last.end())
-            continue;
-        others_armed = false;
-        order(rank, rank_operation::arm, version_, step_, now, out);
-    }
-    for (std::uint32_t const rank : last)
-    {
-        bool const armed =
-            std::find(unarmed.begin(), unarmed.end(), rank) == unarmed.end();
-        if (!others_armed || armed)
+        if (std::find(in_turn.begin(), in_turn.end(), rank) != in_turn.end())
             continue;
         others_armed = false;
         order(rank, rank_operation::arm, version_, step_, now, out);
     }
+    auto const next = std::find_if(
+        in_turn.begin(),
+        in_turn.end(),
+        [&](std::uint32_t rank) { return unarmed.contains(rank); });
+    if (others_armed && next != in_turn.end())
+        order(*next, rank_operation::arm, version_, step_, now, out);
     if (now - phase_entered_ > (resumed_ ? resumed_arm_timeout : arm_timeout))
         enter(phase::clearing, "timed out waiting for ranks to be armed", now);
 }
--- a/test/expert_map/hold_takeover_test.cpp
+++ b/test/expert_map/hold_takeover_test.cpp
@@ -268,3 +268,23 @@
     CHECK(stall <= milliseconds{600});
     CHECK(group.engines.mixed_passes() == 0);
 }
+
+// The group stood until the suspended process resumed: all other ranks had been
+// armed by orders in transit, so that its own might have been too.
+TEST_CASE("a coordinator suspended while it arms ranks is replaced", "[hold]")
+{
+    takeover_group group;
+    group.tell_successor();
+    group.change_until(is_held);
+    REQUIRE(group.engines.is_held());
+    group.run(
+        [&] {
+            return group.first.current_phase() ==
+                   hold_coordinator::phase::arming;
+        });
+    group.rank_reachable = false;
+    duration const stall = group.take_over_after(milliseconds{1600});
+    CAPTURE(stall.count());
+    CHECK(stall <= milliseconds{600});
+    CHECK(group.engines.mixed_passes() == 0);
+}
