--- a/include/hornbeamweir/expert_map/map_planner.hpp
+++ b/include/hornbeamweir/expert_map/map_planner.hpp
@@ -1,15 +1,15 @@
 #pragma once
 
 #include <hornbeamweir/core/time.hpp>
-#include <hornbeamweir/expert_map/rank_codec.hpp>
+#include <hornbeamweir/expert_map/demand_window.hpp>
 #include <hornbeamweir/routes/engine_profile.hpp>
 
-#include <deque>
-#include <map>
-
 namespace hornbeamweir
 {
 
+/// \brief Interval at which changes of demand are looked for.
+constexpr duration map_plan_interval = std::chrono::milliseconds{40};
+
 /// \brief Proposed map, with its benefit and cost.
 struct planned_map
 {
@@ -46,24 +46,28 @@
 
 /// \brief Tracks the activations of experts and proposes maps that balance the
 /// load of the ranks.
-/// \remarks Sans-I/O. Earlier counts of a rank are discarded when its epoch or
-/// incarnation changes, since the rank then counts from 0 again.
+/// \remarks Sans-I/O.
 class map_planner
 {
 public:
     /// \brief Adds the cumulative counts of a rank.
     void on_counts(
-        std::uint32_t rank, activation_counts const& counts, time_point now);
+        std::uint32_t rank, activation_counts const& counts, time_point now)
+    {
+        demand_.on_counts(rank, counts, now);
+    }
 
     /// \brief Proposes the map with the highest benefit.
     /// \param slowdowns Execution time of each rank relative to normal speed.
+    /// \param load Share of the group's capacity that is in use, from 0 to 1.
     /// \returns std::nullopt if no map is worth the cost of copying experts, or
     /// there are too few activations since the demand last changed.
     [[nodiscard]] std::optional<planned_map> plan(
         group_experts const& current,
         engine_profile const& engine,
         std::vector<double> const& slowdowns,
-        time_point now);
+        time_point now,
+        double load = 1);
 
     /// \brief Result of the last call of plan().
     [[nodiscard]] plan_outcome outcome() const noexcept { return outcome_; }
@@ -82,48 +86,45 @@
         std::vector<double> const& slowdowns,
         time_point now) const;
 
-private:
-    struct sample
-    {
-        time_point counted_at{};
-        std::vector<std::uint64_t> counts;
-    };
-
-    struct rank_samples
-    {
-        std::uint64_t epoch = 0;
-        std::uint64_t incarnation = 0;
-        std::deque<sample> samples;
-    };
+    /// \brief Whether the map that was proposed last no longer fits the demand,
+    /// so that a new one should replace it while ranks still copy it.
+    [[nodiscard]] bool is_outdated(
+        group_experts const& experts,
+        engine_profile const& engine,
+        std::vector<double> const& slowdowns,
+        time_point now) const;
 
-    struct demand
+private:
+    struct candidate
     {
-        /// Activations by expert set, then by expert.
-        std::vector<double> activations;
-        /// Whether older activations were left out because their distribution
-        /// differs.
-        bool changed = false;
-        /// Whether the activations cover enough time since the last change of
-        /// demand to plan with.
-        bool settled = false;
+        planned_map map;
+        /// Time for which ranks copy experts, in seconds.
+        double copy_seconds = 0;
     };
 
-    [[nodiscard]] std::vector<std::vector<double>>
-    binned_activations(std::size_t size, time_point now) const;
-    [[nodiscard]] demand recent_demand(std::size_t size, time_point now) const;
-    /// \param max_new_per_rank Maximum number of experts new to a rank in each
-    /// set.
     /// \returns std::nullopt if a set has too few activations.
-    [[nodiscard]] static std::optional<planned_map> balance(
+    [[nodiscard]] static std::optional<candidate> balance(
         group_experts const& current,
         engine_profile const& engine,
         std::vector<double> const& activations,
         std::vector<double> const& slowdowns,
-        std::uint32_t max_new_per_rank);
-
-    std::map<std::uint32_t, rank_samples> ranks_;
+        std::uint32_t max_copies_per_rank,
+        double load);
+    [[nodiscard]] static std::optional<planned_map>
+    choose(std::vector<candidate> candidates, double horizon, double load);
+    void track_changes(expert_demand const& recent, time_point now);
+    /// \returns Time in seconds for which the demand is expected to last.
+    [[nodiscard]] double expected_seconds(time_point now) const;
+
+    demand_window demand_;
     plan_outcome outcome_ = plan_outcome::unsettled;
     double activations_used_ = 0;
+    /// Skew that was planned last, summed over the expert sets.
+    double planned_skew_sum_ = 0;
+    time_point searched_at_{};
+    time_point changed_at_{};
+    /// Mean time between changes of demand; 0 if unknown.
+    double change_seconds_ = 0;
 };
 
 } // namespace hornbeamweir
--- a/include/hornbeamweir/placement/rank_balancer.hpp
+++ b/include/hornbeamweir/placement/rank_balancer.hpp
@@ -2,6 +2,7 @@
 
 #include <hornbeamweir/expert_map/rank_state.hpp>
 
+#include <limits>
 #include <span>
 
 namespace hornbeamweir
@@ -15,9 +16,14 @@
     std::uint32_t slots_per_rank = 1;
     /// Maximum number of experts that one map adds to a rank.
     std::uint32_t max_new_per_rank = 1;
-    /// Minimum relative reduction, by one move, of the sum of the eighth powers
-    /// of the times of the ranks.
+    /// Maximum number of experts that one map adds to a rank, over all sets.
+    std::uint32_t max_copies_per_rank =
+        std::numeric_limits<std::uint32_t>::max();
+    /// Minimum reduction, by one move, of the sum of the eighth powers of the
+    /// times of the ranks, relative to that of the slowest rank.
     double min_gain = 0.08;
+    /// Minimum reduction of the skew by one copied expert.
+    double min_gain_per_copy = 0;
 };
 
 /// \brief Placement of one set of experts.
@@ -48,6 +54,16 @@
     std::span<double const> slowdowns,
     balance_limits const& limits);
 
+/// \brief Improves the placements of all sets of experts, which share the limit
+/// of a rank's copies: moves that reduce the skew most per copy go first.
+/// \param current Experts by set and rank.
+/// \param shares Shares by set, then by expert; as many for each set.
+[[nodiscard]] std::vector<balanced_placement> balance_sets(
+    group_experts const& current,
+    std::span<double const> shares,
+    std::span<double const> slowdowns,
+    balance_limits const& limits);
+
 /// \brief Computes the time of the slowest rank, relative to perfect balance of
 /// ranks with slowdown 1.
 [[nodiscard]] double placement_skew(
--- a/src/daemon/group_coordination.cpp
+++ b/src/daemon/group_coordination.cpp
@@ -15,13 +15,6 @@
 /// Engine profiles are part of the configuration, which changes rarely.
 constexpr duration profile_interval = std::chrono::seconds{10};
 constexpr duration profile_retry = milliseconds{500};
-/// Demand changes every few seconds, and planning takes milliseconds of CPU
-/// time.
-constexpr duration plan_interval = milliseconds{100};
-/// Skew (a ratio; 1 is balanced) above which a map that ranks still copy is
-/// replaced by a newly planned one. Maps are planned for 1.1; after a change of
-/// demand 3 is usual.
-constexpr double outdated_skew = 1.8;
 
 // In a large group a few agents, spread over its ranks, suffice as candidates;
 // if all campaigned, each failover would cost as many calls as there are ranks.
@@ -99,6 +92,7 @@
     activity_.on_report();
     addresses_[report.rank()] = report.address();
     slowdowns_[report.rank()] = report.pace();
+    requests_[report.rank()] = report.active() + report.queued();
     coordinator_.on_report(from_wire(report), experts_of(report), now);
     add_activations(report, now);
     if (report.fenced() && coordinator_.is_coordinator())
@@ -212,7 +206,7 @@
     duration const due = engine_profile_ ? profile_interval : profile_retry;
     if (now - profile_read_at_ >= due)
         read_profile();
-    bool const may_plan = !leaving_ && now - planned_at_ >= plan_interval &&
+    bool const may_plan = !leaving_ && now - planned_at_ >= map_plan_interval &&
                           coordinator_.ready_for_map(now);
     // The leadership record names the local rank, which is armed last: the next
     // coordinator has to check how far a change got there.
@@ -220,7 +214,7 @@
         leadership_.write_record(
             std::to_string(rank_) + ' ' + address_of(rank_));
     else if (
-        may_plan || (!leaving_ && now - planned_at_ >= plan_interval &&
+        may_plan || (!leaving_ && now - planned_at_ >= map_plan_interval &&
                      preparing_map_outdated(now)))
         plan_map(now);
     send_due_orders(now);
@@ -287,10 +281,10 @@
     group_experts const* const preparing = coordinator_.preparing_map();
     if (!preparing || !engine_profile_)
         return false;
-    std::optional<double> const skew =
-        planner_.skew_of(*preparing, *engine_profile_, slowdowns(), now);
+    bool const outdated =
+        planner_.is_outdated(*preparing, *engine_profile_, slowdowns(), now);
     activity_.on_planned(clock_() - now);
-    return skew && *skew > outdated_skew;
+    return outdated;
 }
 
 std::vector<double> group_coordination::slowdowns() const
@@ -301,6 +295,18 @@
     return out;
 }
 
+// A group is at its limit once each rank has as many requests as slots.
+double group_coordination::load() const
+{
+    if (requests_.empty())
+        return 1;
+    double used = 0;
+    for (auto const& [rank, requests] : requests_)
+        used += std::min(requests, engine_profile_->slots);
+    return used / (static_cast<double>(requests_.size()) *
+                   std::max(1U, engine_profile_->slots));
+}
+
 void group_coordination::plan_map(time_point now)
 {
     planned_at_ = now;
@@ -308,7 +314,7 @@
     if (!engine_profile_ || !current)
         return;
     std::optional<planned_map> next =
-        planner_.plan(*current, *engine_profile_, slowdowns(), now);
+        planner_.plan(*current, *engine_profile_, slowdowns(), now, load());
     duration const elapsed = clock_() - now;
     activity_.on_planned(elapsed);
     activity_.on_outcome(planner_.outcome(), planner_.activations_used());
@@ -322,6 +328,7 @@
             "skew_after",
             next->skew_sum_after / static_cast<double>(current->size()))
         .with("moves", next->moves)
+        .with("load", load())
         .with(
             "planning_ms",
             std::chrono::duration_cast<milliseconds>(elapsed).count());
--- a/src/daemon/group_coordination.hpp
+++ b/src/daemon/group_coordination.hpp
@@ -108,6 +108,8 @@
     void update_metrics(time_point now);
     void add_activations(wire::rank_report const& report, time_point now);
     [[nodiscard]] std::vector<double> slowdowns() const;
+    /// \returns Share of the group's capacity that is in use, from 0 to 1.
+    [[nodiscard]] double load() const;
     void send_due_orders(time_point now);
 
     platform& platform_;
@@ -128,6 +130,8 @@
     /// Addresses of the registered replicas of the service.
     std::vector<std::string> registered_addresses_;
     std::map<std::uint32_t, double> slowdowns_;
+    /// Requests that each rank executes or queues.
+    std::map<std::uint32_t, std::uint32_t> requests_;
     std::optional<engine_profile> engine_profile_;
     time_point profile_read_at_{};
     time_point planned_at_{};
--- a/src/expert_map/map_planner.cpp
+++ b/src/expert_map/map_planner.cpp
@@ -13,22 +13,16 @@
 
 using std::chrono::milliseconds;
 
-/// Demand is summed over this time, or since it last changed.
-constexpr duration window = milliseconds{1000};
-constexpr duration bin_width = milliseconds{100};
-/// Difference of two distributions of activations, from 0 to 1, above which the
-/// demand counts as changed. Under constant demand, forward passes differ by up
-/// to 0.2, since each has few prompts.
-constexpr double max_demand_difference = 0.25;
-/// Minimum number of bins since the last change of demand. The newest counts
-/// may still contain the demand before the change, since the ranks are read one
-/// after the other.
-constexpr std::size_t min_bins = 2;
+/// Interval at which a map is searched for while the demand does not change.
+constexpr duration search_interval = milliseconds{200};
+/// Changes of demand closer to each other than this count as one, as the
+/// reports of the ranks show it one after the other.
+constexpr duration min_change_interval = milliseconds{500};
 /// Minimum number of activations in an expert set; the shares of fewer are
 /// dominated by noise.
 constexpr double min_activations = 500;
 /// Minimum relative reduction of the skew, and thus of the time spent on
-/// experts. Passes take 15 % longer while experts are copied.
+/// experts.
 constexpr double min_gain = 0.06;
 /// Minimum gain per copy: the reduction of the skew, averaged over expert sets,
 /// divided by the number of experts copied, averaged over ranks and sets. The
@@ -36,42 +30,48 @@
 /// demand a new map gains 2.4 or more per copy. In a group that is already
 /// balanced it gains 0.15, which has no effect that callers notice.
 constexpr double min_gain_per_copy = 0.72;
-/// Time for which the gain of a map is counted; the next map may replace it
-/// then.
-constexpr double horizon_s = 1.5;
+/// Minimum gain of each copy of a map, in the same unit. Maps improve by many
+/// small moves, so that a bound as high as that of a whole map would stop the
+/// search early. With 0.45 map_shift_bench copies 5 % less, and the mean skew
+/// rises by 0.012.
+constexpr double min_gain_of_last_copy = 0.36;
+/// Minimum weight of the gain in a group with spare capacity. Long passes delay
+/// each stream there too, so that maps still follow the largest changes.
+constexpr double min_load = 0.3;
+/// Passes take this much longer while experts are copied.
+constexpr double copy_slowdown = 0.15;
 /// Time to switch maps once they are copied: orders and the held pass.
 constexpr double switch_s = 0.15;
+/// Time for which the gain of a map is counted, unless changes of demand are
+/// known to be further apart.
+constexpr double min_horizon_s = 1.5;
+constexpr double max_horizon_s = 4;
+/// Time that the urgent part of a map may take to copy. With 0.1 s a skew under
+/// 1.6 is reached 30 ms later in map_shift_bench.
+constexpr double urgent_copy_s = 0.06;
+/// Skew (a ratio; 1 is balanced) above which a map that ranks still copy is
+/// replaced, and how far above the planned one. After a change of demand 3 is
+/// usual.
+constexpr double outdated_skew = 1.8;
+constexpr double outdated_ratio = 1.3;
 
-void add(std::vector<double> const& from, std::vector<double>& to)
+double seconds(duration it)
 {
-    for (std::size_t n = 0; n < to.size(); ++n)
-        to[n] += from[n];
+    return std::chrono::duration<double>{it}.count();
 }
 
-/// Total variation distance of two distributions, from 0 to 1.
-/// \returns 0 if one of them is empty.
-double
-difference(std::vector<double> const& lhs, std::vector<double> const& rhs)
+/// Time in seconds that a rank takes to copy an expert; 0 if unknown.
+double copy_time(engine_profile const& engine)
 {
-    double const left = std::accumulate(lhs.begin(), lhs.end(), 0.0);
-    double const right = std::accumulate(rhs.begin(), rhs.end(), 0.0);
-    if (left <= 0 || right <= 0)
+    constexpr double bits = 8;
+    if (engine.link_megabits_per_second <= 0)
         return 0;
-    double out = 0;
-    for (std::size_t n = 0; n < lhs.size(); ++n)
-        out += std::abs(lhs[n] / left - rhs[n] / right);
-    return out / 2;
+    return engine.expert_megabytes * bits / engine.link_megabits_per_second;
 }
 
-/// Time in seconds that the rank with the most new experts takes to copy them.
-double copy_time(
-    group_experts const& from,
-    group_experts const& to,
-    engine_profile const& engine)
+/// Largest number of experts that are new to a rank, over all sets.
+std::size_t max_new_experts(group_experts const& from, group_experts const& to)
 {
-    constexpr double bits = 8;
-    if (engine.link_megabits_per_second <= 0)
-        return 0;
     std::vector<std::size_t> new_experts(from.front().size(), 0);
     for (std::size_t set = 0; set < from.size(); ++set)
     {
@@ -87,83 +87,21 @@
             }
         }
     }
-    double const max_new_experts = static_cast<double>(
-        *std::max_element(new_experts.begin(), new_experts.end()));
-    return max_new_experts * engine.expert_megabytes * bits /
-           engine.link_megabits_per_second;
+    return *std::max_element(new_experts.begin(), new_experts.end());
 }
 
-} // namespace
-
-void map_planner::on_counts(
-    std::uint32_t rank, activation_counts const& counts, time_point now)
+/// Whether a map gains more than its copies cost, in a group with a given load.
+bool is_worthwhile(planned_map const& it, double load)
 {
-    rank_samples& history = ranks_[rank];
-    if (history.epoch != counts.epoch ||
-        history.incarnation != counts.incarnation)
-        history = {counts.epoch, counts.incarnation, {}};
-    history.samples.push_back({now, counts.counts});
-    while (history.samples.size() > 2 &&
-           now - history.samples[1].counted_at >= window)
-        history.samples.pop_front();
-}
-
-// Sums the activations of all ranks into bins of bin_width that end at now; the
-// newest bin is first.
-std::vector<std::vector<double>>
-map_planner::binned_activations(std::size_t size, time_point now) const
-{
-    std::vector<std::vector<double>> bins(
-        static_cast<std::size_t>(window / bin_width),
-        std::vector<double>(size, 0.0));
-    for (auto const& [rank, history] : ranks_)
-    {
-        for (std::size_t k = 1; k < history.samples.size(); ++k)
-        {
-            sample const& last = history.samples[k];
-            sample const& first = history.samples[k - 1];
-            std::size_t const bin =
-                static_cast<std::size_t>((now - last.counted_at) / bin_width);
-            if (bin >= bins.size() || last.counts.size() != size ||
-                first.counts.size() != size)
-                continue;
-            for (std::size_t n = 0; n < size; ++n)
-            {
-                if (last.counts[n] > first.counts[n])
-                {
-                    bins[bin][n] +=
-                        static_cast<double>(last.counts[n] - first.counts[n]);
-                }
-            }
-        }
-    }
-    return bins;
+    double const ranks = static_cast<double>(it.experts.front().size());
+    double const gain = it.skew_sum_before - it.skew_sum_after;
+    double const gain_per_copy =
+        gain * ranks / std::max(1.0, static_cast<double>(it.moves));
+    return gain >= min_gain * it.skew_sum_before &&
+           gain_per_copy * load >= min_gain_per_copy;
 }
 
-// Sums up bins from the newest to the oldest, and stops at the first one whose
-// distribution differs from that sum.
-map_planner::demand
-map_planner::recent_demand(std::size_t size, time_point now) const
-{
-    std::vector<std::vector<double>> const bins = binned_activations(size, now);
-    demand out;
-    out.activations.assign(size, 0.0);
-    std::size_t used = 0;
-    for (std::vector<double> const& bin : bins)
-    {
-        bool const differs = used > 0 && difference(out.activations, bin) >
-                                             max_demand_difference;
-        if (differs)
-        {
-            out.changed = true;
-            break;
-        }
-        add(bin, out.activations);
-        ++used;
-    }
-    out.settled = used >= min_bins;
-    return out;
-}
+} // namespace
 
 std::optional<double> map_planner::skew_of(
     group_experts const& experts,
@@ -171,7 +109,8 @@
     std::vector<double> const& slowdowns,
     time_point now) const
 {
-    demand const recent = recent_demand(experts.size() * engine.experts, now);
+    expert_demand const recent =
+        demand_.recent(experts.size() * engine.experts, now);
     if (!recent.settled)
         return std::nullopt;
     double total = 0;
@@ -184,75 +123,174 @@
     return total / static_cast<double>(experts.size());
 }
 
+// The urgent part of a map may be planned for a high skew, since the rest
+// follows.
+bool map_planner::is_outdated(
+    group_experts const& experts,
+    engine_profile const& engine,
+    std::vector<double> const& slowdowns,
+    time_point now) const
+{
+    std::optional<double> const skew = skew_of(experts, engine, slowdowns, now);
+    double const planned =
+        planned_skew_sum_ / static_cast<double>(experts.size());
+    return skew && *skew > std::max(outdated_skew, outdated_ratio * planned);
+}
+
+void map_planner::track_changes(expert_demand const& recent, time_point now)
+{
+    constexpr double weight = 0.3;
+    if (recent.activations_before.empty())
+        return;
+    time_point const changed_at = now - recent.age;
+    if (changed_at - changed_at_ < min_change_interval)
+        return;
+    double const interval =
+        std::min(max_horizon_s, seconds(changed_at - changed_at_));
+    change_seconds_ =
+        change_seconds_ > 0
+            ? change_seconds_ + weight * (interval - change_seconds_)
+            : interval;
+    changed_at_ = changed_at;
+    searched_at_ = {};
+}
+
+double map_planner::expected_seconds(time_point now) const
+{
+    return std::max(
+        min_horizon_s, change_seconds_ - seconds(now - changed_at_));
+}
+
 std::optional<planned_map> map_planner::plan(
     group_experts const& current,
     engine_profile const& engine,
     std::vector<double> const& slowdowns,
-    time_point now)
+    time_point now,
+    double load)
 {
-    demand const recent = recent_demand(current.size() * engine.experts, now);
+    std::size_t const size = current.size() * engine.experts;
+    expert_demand const recent = demand_.recent(size, now);
+    track_changes(recent, now);
     activations_used_ = std::accumulate(
         recent.activations.begin(), recent.activations.end(), 0.0);
     outcome_ = plan_outcome::unsettled;
     if (!recent.settled)
         return std::nullopt;
     outcome_ = plan_outcome::balanced;
-    std::optional<planned_map> best;
-    double best_value = 0;
-    for (std::uint32_t max_new_per_rank = 1;
-         max_new_per_rank <= engine.max_new_experts_per_map;
-         ++max_new_per_rank)
+    if (now - searched_at_ < search_interval)
+        return std::nullopt;
+    searched_at_ = now;
+    if (recent.activations_before.empty())
+        demand_.learn_noise(size, now);
+    double const weight = std::clamp(load, min_load, 1.0);
+    double const per_copy = copy_time(engine);
+    std::uint32_t const all = engine.max_new_experts_per_map *
+                              static_cast<std::uint32_t>(current.size());
+    std::uint32_t const urgent =
+        per_copy > 0 ? std::max(
+                           1U,
+                           static_cast<std::uint32_t>(
+                               std::lround(urgent_copy_s / per_copy)))
+                     : all;
+    std::vector<candidate> candidates;
+    for (std::uint32_t const max_copies : {all, urgent})
     {
-        std::optional<planned_map> next = balance(
-            current, engine, recent.activations, slowdowns, max_new_per_rank);
+        // A smaller limit would give the same map, or none.
+        bool const is_same =
+            !candidates.empty() &&
+            (max_copies * per_copy >= candidates.front().copy_seconds ||
+             !is_worthwhile(candidates.front().map, weight));
+        if (is_same)
+            continue;
+        std::optional<candidate> next = balance(
+            current, engine, recent.activations, slowdowns, max_copies, weight);
         if (!next)
         {
             outcome_ = plan_outcome::too_few_activations;
             return std::nullopt;
         }
-        double const gain = next->skew_sum_before - next->skew_sum_after;
-        double const time_in_force =
-            horizon_s - switch_s - copy_time(current, next->experts, engine);
-        // Both the gain and the number of copies are sums over the sets.
-        double const gain_per_copy =
-            gain * static_cast<double>(current.front().size()) /
-            std::max(1.0, static_cast<double>(next->moves));
-        if (gain < min_gain * next->skew_sum_before ||
-            gain_per_copy < min_gain_per_copy ||
-            gain * time_in_force <= best_value)
-            continue;
-        best_value = gain * time_in_force;
-        best = std::move(next);
+        candidates.push_back(std::move(*next));
+    }
+    std::optional<planned_map> best =
+        choose(std::move(candidates), expected_seconds(now), weight);
+    if (best)
+    {
         outcome_ = plan_outcome::proposed;
+        planned_skew_sum_ = best->skew_sum_after;
+        searched_at_ = {};
+    }
+    return best;
+}
+
+// Each candidate has the cost of the skew over time, in seconds, if the rest of
+// the complete map follows it. The first candidate is the complete one.
+std::optional<planned_map> map_planner::choose(
+    std::vector<candidate> candidates, double horizon, double load)
+{
+    if (candidates.empty())
+        return std::nullopt;
+    double const before = candidates.front().map.skew_sum_before;
+    double const complete = candidates.front().map.skew_sum_after;
+    double const complete_copy = candidates.front().copy_seconds;
+    std::optional<planned_map> best;
+    double best_cost = horizon * before;
+    for (candidate& it : candidates)
+    {
+        if (!is_worthwhile(it.map, load))
+            continue;
+        double const after = it.map.skew_sum_after;
+        double const rest_copy = std::max(0.0, complete_copy - it.copy_seconds);
+        double const first = it.copy_seconds + switch_s;
+        double const second = rest_copy > 0 ? rest_copy + switch_s : 0;
+        double const last = std::max(0.0, horizon - first - second);
+        double cost = first * before + copy_slowdown * before * it.copy_seconds;
+        cost += std::min(
+            second * after + copy_slowdown * after * rest_copy +
+                last * complete,
+            (second + last) * after);
+        if (cost >= best_cost)
+            continue;
+        best_cost = cost;
+        best = std::move(it.map);
     }
     return best;
 }
 
-std::optional<planned_map> map_planner::balance(
+std::optional<map_planner::candidate> map_planner::balance(
     group_experts const& current,
     engine_profile const& engine,
     std::vector<double> const& activations,
     std::vector<double> const& slowdowns,
-    std::uint32_t max_new_per_rank)
+    std::uint32_t max_copies_per_rank,
+    double load)
 {
-    balance_limits limits;
-    limits.slots_per_rank = engine.slots_per_rank;
-    limits.max_new_per_rank = max_new_per_rank;
-    planned_map out;
     for (std::size_t set = 0; set < current.size(); ++set)
     {
-        std::span<double const> const shares{
-            activations.data() + set * engine.experts, engine.experts};
-        double const total = std::accumulate(shares.begin(), shares.end(), 0.0);
-        if (total < min_activations)
+        auto const first = activations.begin() +
+                           static_cast<std::ptrdiff_t>(set * engine.experts);
+        if (std::accumulate(first, first + engine.experts, 0.0) <
+            min_activations)
             return std::nullopt;
-        balanced_placement balanced =
-            balance_ranks(current[set], shares, slowdowns, limits);
-        out.skew_sum_before += balanced.skew_before;
-        out.skew_sum_after += balanced.skew_after;
-        out.moves += balanced.moves;
-        out.experts.push_back(std::move(balanced.ranks));
     }
+    balance_limits limits;
+    limits.slots_per_rank = engine.slots_per_rank;
+    limits.max_new_per_rank = engine.max_new_experts_per_map;
+    limits.min_gain_per_copy = min_gain_of_last_copy /
+                               static_cast<double>(current.front().size()) /
+                               load;
+    limits.max_copies_per_rank = max_copies_per_rank;
+    candidate out;
+    for (balanced_placement& balanced :
+         balance_sets(current, activations, slowdowns, limits))
+    {
+        out.map.skew_sum_before += balanced.skew_before;
+        out.map.skew_sum_after += balanced.skew_after;
+        out.map.moves += balanced.moves;
+        out.map.experts.push_back(std::move(balanced.ranks));
+    }
+    out.copy_seconds =
+        copy_time(engine) *
+        static_cast<double>(max_new_experts(current, out.map.experts));
     return out;
 }
 
--- a/test/expert_map/map_planner_test.cpp
+++ b/test/expert_map/map_planner_test.cpp
@@ -316,3 +316,64 @@
         std::vector<double>(ranks, 1.0),
         feed.now));
 }
+
+// Copying a complete map takes several hundred milliseconds, in which the
+// longest steps would stay as long as the demand has made them.
+TEST_CASE("the urgent part of a map is planned first", "[planner]")
+{
+    constexpr std::size_t sets = 16;
+    engine_profile slow = engine();
+    slow.expert_sets = sets;
+    slow.expert_megabytes = 370;
+    group_experts map(sets, round_robin_placement());
+    activation_counts counts{1, 1, std::vector<std::uint64_t>(sets * experts)};
+    std::vector<double> const slowdowns(ranks, 1.0);
+    map_planner planner;
+    time_point now{std::chrono::seconds{100}};
+    std::vector<double> skews;
+    for (int k = 0; k < 10; ++k)
+    {
+        now += milliseconds{200};
+        for (std::size_t n = 0; n < counts.counts.size(); ++n)
+            counts.counts[n] += static_cast<std::uint64_t>(
+                1000 * skewed_shares(5 * (n / experts))[n % experts]);
+        planner.on_counts(0, counts, now);
+        std::optional<planned_map> const next =
+            planner.plan(map, slow, slowdowns, now);
+        if (!next)
+            continue;
+        // The urgent part: 60 ms at each rank.
+        if (skews.empty())
+            CHECK(next->moves <= 4 * ranks);
+        skews.push_back(next->skew_sum_after / sets);
+        map = next->experts;
+    }
+    REQUIRE(skews.size() >= 2);
+    CHECK(skews[0] < 1.6);
+    CHECK(skews[1] < skews[0]);
+}
+
+// Copies slow passes down, and a group with spare capacity gains little.
+TEST_CASE("a group with spare capacity gets no small maps", "[planner]")
+{
+    std::vector<double> const slowdowns(ranks, 1.0);
+    for (double const load : {0.1, 1.0})
+    {
+        CAPTURE(load);
+        map_planner planner;
+        activation_counts counts{1, 1, std::vector<std::uint64_t>(experts)};
+        time_point now{std::chrono::seconds{100}};
+        for (int k = 0; k < 10; ++k)
+        {
+            for (std::size_t n = 0; n < experts; ++n)
+                counts.counts[n] += n % ranks < 3 ? 1600 : 800;
+            planner.on_counts(0, counts, now);
+            now += milliseconds{100};
+        }
+        bool const planned =
+            planner
+                .plan({round_robin_placement()}, engine(), slowdowns, now, load)
+                .has_value();
+        CHECK(planned == (load == 1.0));
+    }
+}
