Repeat orders that the local rank leaves unanswered

Cause: while engines leave a part of the orders unanswered, each of the ranks that have to be armed, and the two that are armed alone, may cost 60 ms, and a map that is to be copied 300 ms, before the coordinator repeats the order. Change: an agent gives an order to its rank again after 20 ms, up to four times, as long as no newer order has come (order_repeats). Orders sent directly to ranks on other VMs keep their longer times.

--- a/src/daemon/rank_agent_daemon.cpp
+++ b/src/daemon/rank_agent_daemon.cpp
@@ -1,6 +1,7 @@
 #include <hornbeamweir/core/socket_address.hpp>
 #include <hornbeamweir/core/suspend_clock.hpp>
 #include <hornbeamweir/daemon/rank_agent_daemon.hpp>
+#include <hornbeamweir/expert_map/order_repeats.hpp>
 #include <hornbeamweir/peers/datagram_link.hpp>
 #include <hornbeamweir/peers/peer_registry.hpp>
 #include <hornbeamweir/telemetry/console_log.hpp>
@@ -181,12 +182,25 @@
     }
 
     void execute(rank_order const& order)
+    {
+        send_to_rank(order, repeats_.on_received(), 1);
+    }
+
+    void
+    send_to_rank(rank_order const& order, std::uint64_t number, int attempt)
     {
         rank_.send_order(
             settings_.rank_address,
             order,
-            [this, order](result<unsigned> const& status)
+            rank_location::local,
+            [this, order, number, attempt](result<unsigned> const& status)
             {
+                if (!status && repeats_.is_due(number, attempt))
+                {
+                    log_rank_order(log_, order, status);
+                    send_to_rank(order, number, attempt + 1);
+                    return;
+                }
                 bool const fenced = status && *status == precondition_failed;
                 if (is_accepted(status) &&
                     order.operation == rank_operation::prepare)
@@ -202,6 +216,7 @@
         rank_.send_order(
             address,
             order,
+            rank_location::remote,
             [this, address, order](result<unsigned> const& status)
             {
                 log_rank_order(log_, order, status);
@@ -353,6 +368,7 @@
     random_source random_;
     daemon_loop loop_;
     rank_client rank_;
+    order_repeats repeats_;
     rank_monitor monitor_;
     admin_endpoint admin_;
     std::unique_ptr<polled_platform> platform_;
--- a/src/daemon/rank_client.cpp
+++ b/src/daemon/rank_client.cpp
@@ -14,17 +14,26 @@
 /// Ranks respond to report requests immediately, without using one of their
 /// request slots.
 constexpr duration report_timeout = milliseconds{300};
-/// Response timeout of an order; a rank may still carry out an order that has
-/// timed out.
-constexpr duration order_timeout = milliseconds{60};
+/// Response timeout of an order to the rank on this VM, which responds within a
+/// few milliseconds. A rank may still carry out an order that has timed out.
+constexpr duration local_order_timeout = milliseconds{20};
+constexpr duration remote_order_timeout = milliseconds{60};
 /// The same for an order with a whole map, which takes a link of 8 Mbit/s tens
 /// of milliseconds, behind those for other ranks.
-constexpr duration prepare_timeout = milliseconds{300};
+constexpr duration remote_prepare_timeout = milliseconds{300};
 constexpr duration connect_timeout = milliseconds{200};
 /// Size of the longest response, the experts of a rank, with ample room.
 constexpr std::size_t max_response_bytes = std::size_t{4} * 1024 * 1024;
 constexpr unsigned ok = 200;
 
+duration order_timeout(rank_operation operation, rank_location location)
+{
+    if (location == rank_location::local)
+        return local_order_timeout;
+    return operation == rank_operation::prepare ? remote_prepare_timeout
+                                                : remote_order_timeout;
+}
+
 template <typename T>
 result<T> decode(
     result<std::pair<unsigned, std::string>> const& response,
@@ -153,13 +162,15 @@
 }
 
 void rank_client::send_order(
-    std::string const& address, rank_order const& order, handler<unsigned> done)
+    std::string const& address,
+    rank_order const& order,
+    rank_location location,
+    handler<unsigned> done)
 {
     call(
         address,
         codec_.order_request(order),
-        order.operation == rank_operation::prepare ? prepare_timeout
-                                                   : order_timeout,
+        order_timeout(order.operation, location),
         [done](result<std::pair<unsigned, std::string>> const& response)
         {
             if (response)
--- a/src/daemon/rank_client.hpp
+++ b/src/daemon/rank_client.hpp
@@ -9,6 +9,13 @@
 namespace hornbeamweir
 {
 
+/// \brief Whether a rank runs on this VM.
+enum class rank_location
+{
+    local,
+    remote
+};
+
 /// \brief Client of the HTTP interface of ranks.
 /// \remarks Handlers are called once, with the result or an error. They are not
 /// called if the address is invalid or the client is destroyed.
@@ -34,6 +41,7 @@
     void send_order(
         std::string const& address,
         rank_order const& order,
+        rank_location location,
         handler<unsigned> done);
 
 private:
