Send a stalled group only single requests

Cause: while a group stands for a suspended coordinator, entries go on sending to its ranks, also to that of the suspended VM, which executes what it got when it wakes, after the callers have left. Change: group_progress tells from an entry's own attempts which replicas have sent nothing for three target gaps. They get no requests, and if no replica responds, only single ones at growing intervals; the others wait in the queue as in an outage. What has become late there goes behind what can be on time, and the time of a stall no longer counts as time between departures.

--- a/include/hornbeamweir/admission/fair_queue.hpp
+++ b/include/hornbeamweir/admission/fair_queue.hpp
@@ -21,6 +21,9 @@
     /// 0 is the most urgent.
     std::uint32_t priority = 1;
     time_point deadline{};
+    /// Time from which the request can't be on time any more. It then goes
+    /// behind the requests of its priority, with the next lower one.
+    time_point late_after = time_point::max();
 
     [[nodiscard]] friend bool
     operator==(queued_request const&, queued_request const&) = default;
@@ -44,6 +47,14 @@
     /// \brief Removes and returns the next request to serve.
     [[nodiscard]] std::optional<queued_request> pop(time_point now);
 
+    /// \brief Moves the requests that have become late to the next lower
+    /// priority.
+    void demote_late(time_point now);
+
+    /// \brief Tells that no request can be served at present; the time until
+    /// the next departure does not count towards the time between departures.
+    void on_blocked(time_point now) noexcept { last_departure_ = now; }
+
     /// \brief Removes a request that its caller has cancelled.
     /// \returns Whether the request was queued.
     bool erase(request_id const& id);
@@ -83,6 +94,7 @@
         std::size_t size = 0;
     };
 
+    void insert(queued_request item);
     [[nodiscard]] static queued_request pop_from(priority_level& level);
     static void remove_idle_flows(priority_level& level);
     /// Returns the estimated time until a new request would be served.
--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -3,6 +3,7 @@
 #include <hornbeamweir/admission/fair_queue.hpp>
 #include <hornbeamweir/relay/cold_pacing.hpp>
 #include <hornbeamweir/relay/event_splitter.hpp>
+#include <hornbeamweir/relay/group_progress.hpp>
 #include <hornbeamweir/relay/relay_action.hpp>
 #include <hornbeamweir/relay/relay_core_settings.hpp>
 #include <hornbeamweir/relay/replica_chooser.hpp>
@@ -10,6 +11,7 @@
 #include <hornbeamweir/relay/replica_load_tracker.hpp>
 #include <hornbeamweir/relay/replica_rate_limits.hpp>
 #include <hornbeamweir/relay/request_quarantine.hpp>
+#include <hornbeamweir/relay/request_state.hpp>
 #include <hornbeamweir/relay/retry_after_planner.hpp>
 #include <hornbeamweir/relay/retry_budget_share.hpp>
 #include <hornbeamweir/relay/service_activity.hpp>
@@ -132,57 +134,6 @@
     }
 
 private:
-    enum class request_phase
-    {
-        /// In the queue of its service, before the first attempt.
-        queued,
-        /// Waits for a replica that can take a retry.
-        awaiting_retry,
-        /// Sent to a replica; no response data was forwarded yet.
-        awaiting_response,
-        /// Part of the response was forwarded.
-        responding
-    };
-
-    struct request_state
-    {
-        relay_request message;
-        route matched_route;
-        service_name service;
-        customer_id customer;
-        /// Empty until the customer is known.
-        request_traits traits;
-        request_phase phase = request_phase::queued;
-        time_point arrived{};
-        time_point deadline{};
-        /// Attempts counted towards route::max_attempts; excludes attempts that
-        /// were not sent, and those that a different replica received.
-        std::uint32_t counted_attempts = 0;
-        /// Number of the current or last attempt, from 1; 0 before the first.
-        std::uint32_t attempt = 0;
-        backend_server_id target;
-        std::int64_t target_registration = 0;
-        answer_progress answer = answer_progress::none;
-        time_point answer_began{};
-        /// Whether the request tries a trait that is blocked.
-        bool is_probe = false;
-        std::set<backend_server_id> excluded;
-        time_point attempt_started{};
-        time_point last_progress{};
-        /// When the last attempt failed, and the wait for a retry began.
-        time_point failed_at{};
-        bool may_have_run = false;
-        /// Whether any replica has responded, even if it rejected the attempt.
-        bool reached_replica = false;
-        /// Response head; forwarded together with the first data.
-        std::optional<send_head> pending_head;
-        unsigned status = 0;
-        bool is_event_stream = false;
-        event_splitter events;
-        std::optional<time_point> first_data_at;
-        std::string last_failure;
-    };
-
     using request_iterator = std::map<exchange_id, request_state>::iterator;
 
     /// Outcome of looking up the route and the API key of a request.
@@ -208,6 +159,10 @@
         /// Limits the concurrent streams at a replica; empty for services
         /// without an engine or streaming routes.
         std::optional<stream_limiter> limiter;
+        /// Set if there is a limiter.
+        std::optional<group_progress> progress;
+        /// Whether no replica responded when the progress was last observed.
+        bool is_stalled = false;
         /// Streams that this entry may have open, if there is a limiter.
         stream_share share;
         /// When a new request was last rejected because of the load.
@@ -300,6 +255,9 @@
     void send_queued(request_iterator it, time_point now, actions& out);
     /// Adapts the stream limits, and logs the load of each service.
     void observe_services(time_point now);
+    /// Logs when the replicas of a service stall, and when they go on.
+    void observe_progress(
+        service_name const& name, service_state& state, time_point now);
     [[nodiscard]] static bool is_caller_retry(request_state const& request);
     /// Rejects a request that can't be served in time.
     void reject_for_overload(
--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -73,11 +73,18 @@
 // otherwise reject all requests for ever.
 std::optional<duration> fair_queue::push(queued_request item, time_point now)
 {
-    priority_level& level = levels_[item.priority];
-    if (size_ > 0 && now + expected_wait(level, item) > item.deadline)
+    if (size_ > 0 &&
+        now + expected_wait(levels_[item.priority], item) > item.deadline)
         return retry_after();
     if (size_ == 0)
         last_departure_ = now;
+    insert(std::move(item));
+    return std::nullopt;
+}
+
+void fair_queue::insert(queued_request item)
+{
+    priority_level& level = levels_[item.priority];
     flow& customer_flow = level.flows[item.customer];
     double const start_tag =
         std::max(level.virtual_time, customer_flow.finish_tag);
@@ -85,7 +92,33 @@
     customer_flow.items.push_back({std::move(item), start_tag});
     ++level.size;
     ++size_;
-    return std::nullopt;
+}
+
+// After an outage, the requests that have waited for its end are late whatever
+// is done. In the order of arrival, they would make those that follow late too.
+void fair_queue::demote_late(time_point now)
+{
+    std::vector<queued_request> late;
+    for (auto level = levels_.begin(); level != levels_.end(); ++level)
+    {
+        for (auto it = level->second.flows.begin();
+             it != level->second.flows.end();
+             ++it)
+        {
+            for (tagged_request const& queued : it->second.items)
+            {
+                if (queued.item.late_after <= now)
+                    late.push_back(queued.item);
+            }
+        }
+    }
+    for (queued_request& it : late)
+    {
+        static_cast<void>(erase(it.id));
+        it.late_after = time_point::max();
+        ++it.priority;
+        insert(std::move(it));
+    }
 }
 
 std::optional<queued_request> fair_queue::pop(time_point now)
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -89,6 +89,8 @@
             nullptr,
             {},
             std::nullopt,
+            std::nullopt,
+            false,
             {},
             std::nullopt,
             0,
@@ -158,7 +160,10 @@
     request_state& request, attempt_outcome outcome, time_point now)
 {
     loads_.on_attempt_ended(request.target);
-    --service_state_for(request.service).own_attempts;
+    service_state& state = service_state_for(request.service);
+    --state.own_attempts;
+    if (state.progress)
+        state.progress->on_ended(request.target, now);
     if (outcome == attempt_outcome::succeeded)
         failures_.on_succeeded(request.target, now);
     else if (outcome == attempt_outcome::failed)
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -29,6 +29,9 @@
 constexpr duration max_outage_wait = std::chrono::milliseconds{1500};
 /// Fraction of the time to the deadline that a request may wait in an outage.
 constexpr double outage_wait_fraction = 0.3;
+/// Time without response data, as a multiple of the target gap, after which a
+/// lock-step group is stalled: no pass of a working group takes that long.
+constexpr int max_silent_gaps = 3;
 /// Retries that a replica may get in excess of its limit.
 constexpr std::uint32_t retry_overcommit = 2;
 
@@ -44,8 +47,8 @@
 relay_core::candidates_for(request_state const& request, time_point now)
 {
     std::vector<candidate> out;
-    std::optional<stream_limiter> const& limiter =
-        service_state_for(request.service).limiter;
+    service_state const& state = service_state_for(request.service);
+    std::optional<stream_limiter> const& limiter = state.limiter;
     // The entry's share bounds the streams of the group; a single rank may have
     // one more, as the streams can't be spread exactly.
     std::uint32_t const limit = limiter
@@ -56,7 +59,8 @@
         rank_status const status = loads_.status_of(it->id, now);
         if (request.excluded.contains(it->id) || !status.accepts_requests ||
             exclusions_.is_leaving(*it) ||
-            exclusions_.backing_off_until(it->id, now))
+            exclusions_.backing_off_until(it->id, now) ||
+            (state.progress && !state.progress->may_send(it->id, now)))
             continue;
         out.push_back(
             {it,
@@ -96,6 +100,7 @@
     if (!profile || !profile->engine)
     {
         state.limiter.reset();
+        state.progress.reset();
         return;
     }
     state.cost = {profile->engine->step, profile->engine->per_sequence};
@@ -116,6 +121,12 @@
     else if (
         !state.limiter || !state.limiter->is_for(*profile->engine, *target_gap))
         state.limiter.emplace(*profile->engine, *target_gap);
+    if (!target_gap)
+        state.progress.reset();
+    else if (!state.progress)
+        state.progress.emplace(*target_gap * max_silent_gaps);
+    else
+        state.progress->set_max_silence(*target_gap * max_silent_gaps);
 }
 
 // A group that has lost a rank re-forms within 1 s to 2 s, so requests wait for
@@ -206,6 +217,13 @@
     item.customer = request.customer;
     item.priority = 2 * request.matched_route.priority + (is_retry ? 1 : 0);
     item.deadline = now + outage.value_or(wait);
+    if (!is_retry)
+    {
+        item.late_after =
+            request.arrived +
+            scaled(request.matched_route.target_latency, queue_wait_fraction);
+    }
+    state.queue.demote_late(now);
     service_name const service = request.service;
     if (state.queue.push(item, now))
     {
@@ -228,6 +246,7 @@
     }
     if (state->second.limiter && state->second.share.is_due(now))
         update_share(name, state->second, now);
+    state->second.queue.demote_late(now);
     while (state->second.queue.size() > 0)
     {
         if (state->second.limiter &&
@@ -238,6 +257,8 @@
         new_request.service = name;
         std::vector<candidate> const candidates =
             candidates_for(new_request, now);
+        if (candidates.empty())
+            state->second.queue.on_blocked(now);
         if (!chooser_.choose(
                 candidates, state->second.cost, settings_.data_centre))
             return;
@@ -302,7 +323,10 @@
                                           : request_phase::awaiting_response;
     loads_.on_attempt_started(target.id);
     rate_limits_.on_sent(target.id, now);
-    ++service_state_for(request.service).own_attempts;
+    service_state& state = service_state_for(request.service);
+    ++state.own_attempts;
+    if (state.progress)
+        state.progress->on_sent(target.id, now);
     open_attempt open;
     open.exchange = it->first;
     open.attempt = request.attempt;
--- a/src/relay/relay_occupancy.cpp
+++ b/src/relay/relay_occupancy.cpp
@@ -29,10 +29,30 @@
     return out;
 }
 
+void relay_core::observe_progress(
+    service_name const& name, service_state& state, time_point now)
+{
+    bool const stalled = state.progress && state.progress->is_stalled(now);
+    if (stalled == state.is_stalled)
+        return;
+    state.is_stalled = stalled;
+    event line{"service_progress_changed"};
+    line.with("service", name)
+        .with("state", stalled ? "stalled" : "responding")
+        .with("attempts", state.own_attempts)
+        .with("queued", state.queue.size());
+    log_.warning(line);
+    metrics_.gauge(
+        "hornbeamweir_service_stalled",
+        {{"service", name.str()}},
+        stalled ? 1 : 0);
+}
+
 void relay_core::observe_services(time_point now)
 {
     for (auto& [name, state] : services_)
     {
+        observe_progress(name, state, now);
         bool const limit_due = state.limiter && state.limiter->is_due(now);
         bool const log_due = state.activity.is_due(now);
         if (!limit_due && !log_due)
--- a/src/relay/relay_responses.cpp
+++ b/src/relay/relay_responses.cpp
@@ -154,6 +154,8 @@
     observe_answer(request, answer_progress::data, now);
     request.last_progress = now;
     service.last_progress = now;
+    if (service.progress)
+        service.progress->on_data(request.target, now);
     if (!request.first_data_at)
         request.first_data_at = now;
     request.phase = request_phase::responding;
