Bound the time without requests to a stalled group

Cause: found by reading: the interval between single requests doubled without bound, so that after an outage of a minute a service would have been back only tens of seconds later; and replicas that answer with failures counted as stalled, although nothing waits there. Change: the interval is at most four times the permitted silence, and the head of any response counts as a sign.

--- a/include/hornbeamweir/relay/group_progress.hpp
+++ b/include/hornbeamweir/relay/group_progress.hpp
@@ -17,7 +17,7 @@
 class group_progress
 {
 public:
-    /// \param max_silence Time without response data of any attempt, after
+    /// \param max_silence Time without a response to any attempt, after
     /// which a replica counts as stalled.
     explicit group_progress(duration max_silence) noexcept
         : max_silence_{max_silence}
@@ -31,7 +31,7 @@
     }
 
     void on_sent(backend_server_id const& replica, time_point now);
-    void on_data(backend_server_id const& replica, time_point now);
+    void on_response(backend_server_id const& replica, time_point now);
     void on_ended(backend_server_id const& replica, time_point now);
 
     /// \brief Whether a replica may get a request.
@@ -51,7 +51,7 @@
     struct open_attempts
     {
         std::uint32_t number = 0;
-        /// Last response data, or the start of the first attempt.
+        /// Last response, or the start of the first attempt.
         time_point last_sign{};
     };
 
--- a/src/daemon/rank_agent_daemon.cpp
+++ b/src/daemon/rank_agent_daemon.cpp
@@ -31,14 +31,6 @@
 /// Long enough for a map change and a call to the store; the platform kills the
 /// process after several seconds.
 constexpr duration max_leave_time = std::chrono::seconds{3};
-constexpr unsigned ok = 200;
-constexpr unsigned accepted = 202;
-constexpr unsigned precondition_failed = 412;
-
-bool is_accepted(result<unsigned> const& status)
-{
-    return status && (*status == ok || *status == accepted);
-}
 
 using udp_address = boost::asio::ip::udp::endpoint;
 
@@ -201,7 +193,7 @@
                     send_to_rank(order, number, attempt + 1);
                     return;
                 }
-                bool const fenced = status && *status == precondition_failed;
+                bool const fenced = is_fenced(status);
                 if (is_accepted(status) &&
                     order.operation == rank_operation::prepare)
                     monitor_.on_prepare_accepted(order.version);
--- a/src/daemon/rank_client.cpp
+++ b/src/daemon/rank_client.cpp
@@ -25,6 +25,8 @@
 /// Size of the longest response, the experts of a rank, with ample room.
 constexpr std::size_t max_response_bytes = std::size_t{4} * 1024 * 1024;
 constexpr unsigned ok = 200;
+constexpr unsigned accepted = 202;
+constexpr unsigned precondition_failed = 412;
 
 duration order_timeout(rank_operation operation, rank_location location)
 {
@@ -53,6 +55,16 @@
 
 } // namespace
 
+bool is_accepted(result<unsigned> const& status) noexcept
+{
+    return status && (*status == ok || *status == accepted);
+}
+
+bool is_fenced(result<unsigned> const& status) noexcept
+{
+    return status && *status == precondition_failed;
+}
+
 struct rank_client::pending_call
 {
     response_handler done;
--- a/src/daemon/rank_client.hpp
+++ b/src/daemon/rank_client.hpp
@@ -16,6 +16,13 @@
     remote
 };
 
+/// \brief Whether a rank carries out an order, by the HTTP status of its
+/// response.
+[[nodiscard]] bool is_accepted(result<unsigned> const& status) noexcept;
+/// \brief Whether a rank rejected an order as it has seen a higher fencing
+/// token.
+[[nodiscard]] bool is_fenced(result<unsigned> const& status) noexcept;
+
 /// \brief Client of the HTTP interface of ranks.
 /// \remarks Handlers are called once, with the result or an error. They are not
 /// called if the address is invalid or the client is destroyed.
--- a/src/expert_map/hold_phases.cpp
+++ b/src/expert_map/hold_phases.cpp
@@ -157,11 +157,11 @@
     std::uint32_t const ranks = views_.begin()->second.state.ranks;
     bool const avoids_previous =
         resumed_ && hold_rank() == previous_local_rank_;
-    std::uint32_t const witness =
+    std::uint32_t const next_to_last =
         avoids_previous ? (hold_rank() + 1) % ranks : hold_rank();
     std::vector<std::uint32_t> out;
-    if (witness != local_rank_)
-        out.push_back(witness);
+    if (next_to_last != local_rank_)
+        out.push_back(next_to_last);
     out.push_back(local_rank_);
     if (resumed_ && previous_local_rank_)
         out.push_back(*previous_local_rank_);
--- a/src/relay/group_progress.cpp
+++ b/src/relay/group_progress.cpp
@@ -1,12 +1,24 @@
 #include <hornbeamweir/relay/group_progress.hpp>
 
+#include <algorithm>
+
 namespace hornbeamweir::relay
 {
 
+namespace
+{
+
+/// Maximum time without a request, as a multiple of max_silence. A longer one
+/// would delay the return of a service after a long outage.
+constexpr int max_probe_factor = 4;
+
+} // namespace
+
 void group_progress::on_sent(backend_server_id const& replica, time_point now)
 {
     if (is_stalled(now))
-        probe_interval_ *= 2;
+        probe_interval_ =
+            std::min(2 * probe_interval_, max_probe_factor * max_silence_);
     open_attempts& attempts = replicas_[replica];
     if (attempts.number++ == 0)
         attempts.last_sign = now;
@@ -15,7 +27,8 @@
     last_sent_ = now;
 }
 
-void group_progress::on_data(backend_server_id const& replica, time_point now)
+void group_progress::on_response(
+    backend_server_id const& replica, time_point now)
 {
     auto const it = replicas_.find(replica);
     if (it != replicas_.end())
--- a/src/relay/relay_responses.cpp
+++ b/src/relay/relay_responses.cpp
@@ -43,6 +43,8 @@
     request.reached_replica = true;
     observe_replica(request, head, now);
     service_name const service = request.service;
+    if (service_state& state = service_state_for(service); state.progress)
+        state.progress->on_response(request.target, now);
     bool const failed = head.status >= first_server_failure;
     bool const success = head.status < first_failure_status;
     std::string const cause = "replica answered " + std::to_string(head.status);
@@ -155,7 +157,7 @@
     request.last_progress = now;
     service.last_progress = now;
     if (service.progress)
-        service.progress->on_data(request.target, now);
+        service.progress->on_response(request.target, now);
     if (!request.first_data_at)
         request.first_data_at = now;
     request.phase = request_phase::responding;
--- a/test/relay/group_progress_test.cpp
+++ b/test/relay/group_progress_test.cpp
@@ -62,7 +62,7 @@
             if (now - it.last_event < milliseconds{50})
                 continue;
             it.last_event = now;
-            progress.on_data(it.replica, now);
+            progress.on_response(it.replica, now);
         }
     }
 
@@ -132,6 +132,30 @@
     CHECK(later >= 1);
 }
 
+// With intervals that double without bound, a service would be back only tens
+// of seconds after a long outage.
+TEST_CASE("requests are permitted soon after a long outage", "[relay]")
+{
+    streaming_entry entry;
+    entry.run(milliseconds{3000}, true);
+    entry.run(milliseconds{60'000}, false);
+    time_point const resumed_at = entry.now;
+    entry.run(milliseconds{2000}, true);
+    CHECK(sent_between(entry, resumed_at, entry.now) >= 5);
+}
+
+// Replicas that reject requests are not stalled: nothing waits there.
+TEST_CASE("replicas that respond with failures get requests", "[relay]")
+{
+    group_progress progress{max_silence};
+    time_point now{std::chrono::seconds{100}};
+    progress.on_sent(replica_name(0), now);
+    now += max_silence + milliseconds{1};
+    progress.on_response(replica_name(0), now);
+    progress.on_ended(replica_name(0), now);
+    CHECK(progress.may_send(replica_name(1), now));
+}
+
 TEST_CASE("a group that resumes gets requests at once", "[relay]")
 {
     streaming_entry entry;
@@ -152,11 +176,11 @@
     progress.on_sent(silent, now);
     progress.on_sent(working, now);
     now += max_silence + milliseconds{1};
-    progress.on_data(working, now);
+    progress.on_response(working, now);
     CHECK_FALSE(progress.may_send(silent, now));
     CHECK(progress.may_send(working, now));
     CHECK(progress.may_send(replica_name(2), now));
-    progress.on_data(silent, now);
+    progress.on_response(silent, now);
     CHECK(progress.may_send(silent, now));
 }
 
@@ -165,7 +189,7 @@
     group_progress progress{max_silence};
     time_point now{std::chrono::seconds{100}};
     progress.on_sent(replica_name(0), now);
-    progress.on_data(replica_name(0), now);
+    progress.on_response(replica_name(0), now);
     progress.on_ended(replica_name(0), now);
     now += milliseconds{60'000};
     progress.on_sent(replica_name(0), now);
