--- a/include/hornbeamweir/relay/group_progress.hpp
+++ b/include/hornbeamweir/relay/group_progress.hpp
@@ -33,6 +33,9 @@
     void on_sent(backend_server_id const& replica, time_point now);
     void on_response(backend_server_id const& replica, time_point now);
     void on_ended(backend_server_id const& replica, time_point now);
+    /// \brief Records that a replica says that it serves, by another way than
+    /// a response.
+    void on_serving(backend_server_id const& replica);
 
     /// \brief Whether a replica may get a request.
     /// \returns False if its attempts get no response. While no replica
@@ -44,7 +47,7 @@
     /// \brief Whether no replica responds.
     [[nodiscard]] bool is_stalled(time_point now) const
     {
-        return was_silent_ || is_silent(all_, now);
+        return all_.ended_silent || is_silent(all_, now);
     }
 
 private:
@@ -53,8 +56,11 @@
         std::uint32_t number = 0;
         /// Last response, or the start of the first attempt.
         time_point last_sign{};
+        /// Whether there was no response when the last attempt ended.
+        bool ended_silent = false;
     };
 
+    [[nodiscard]] duration max_exclusion() const noexcept;
     [[nodiscard]] bool
     is_silent(open_attempts const& attempts, time_point now) const
     {
@@ -64,8 +70,6 @@
     duration max_silence_;
     std::map<backend_server_id, open_attempts> replicas_;
     open_attempts all_;
-    /// Whether no replica had responded when the last attempt ended.
-    bool was_silent_ = false;
     time_point last_sent_{};
     /// Time without a request while no replica responds.
     duration probe_interval_;
--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -100,6 +100,9 @@
         std::string const& reason,
         time_point now);
 
+    /// \brief Receives what the agent of a replica reports.
+    void on_rank_status(backend_server_id const& id, rank_status const& status);
+
     /// \brief Receives the outcome of check_replica, if no connection was
     /// accepted.
     void on_not_accepting(replica const& checked, time_point now);
--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -253,7 +253,7 @@
                 core_.replicas().find_by_address(report.address());
             if (rank)
             {
-                core_.loads().on_rank_status(
+                core_.on_rank_status(
                     rank->id,
                     {report.open(), std::max(1.0, report.pace()), now});
             }
--- a/src/relay/relay_occupancy.cpp
+++ b/src/relay/relay_occupancy.cpp
@@ -29,6 +29,19 @@
     return out;
 }
 
+void relay_core::on_rank_status(
+    backend_server_id const& id, rank_status const& status)
+{
+    loads_.on_rank_status(id, status);
+    if (!status.accepts_requests)
+        return;
+    for (auto& [name, state] : services_)
+    {
+        if (state.progress)
+            state.progress->on_serving(id);
+    }
+}
+
 void relay_core::observe_progress(
     service_name const& name, service_state& state, time_point now)
 {
--- a/test/relay/group_progress_test.cpp
+++ b/test/relay/group_progress_test.cpp
@@ -195,3 +195,38 @@
     progress.on_sent(replica_name(0), now);
     CHECK(progress.may_send(replica_name(1), now));
 }
+
+// A VM was suspended for 5 s, its group for 2 s of them. When the group had
+// resumed, entries sent on to the suspended VM's replica, as the attempts that
+// had been silent were gone.
+TEST_CASE("a replica that was silent gets requests once it is heard", "[relay]")
+{
+    group_progress progress{max_silence};
+    time_point now{std::chrono::seconds{100}};
+    backend_server_id const silent = replica_name(0);
+    backend_server_id const working = replica_name(1);
+    progress.on_sent(silent, now);
+    progress.on_sent(working, now);
+    now += milliseconds{1200};
+    progress.on_response(working, now);
+    progress.on_ended(silent, now);
+    now += milliseconds{3000};
+    progress.on_response(working, now);
+    CHECK_FALSE(progress.may_send(silent, now));
+    progress.on_serving(silent);
+    CHECK(progress.may_send(silent, now));
+}
+
+TEST_CASE("a replica that is never heard gets a request again", "[relay]")
+{
+    group_progress progress{max_silence};
+    time_point now{std::chrono::seconds{100}};
+    progress.on_sent(replica_name(0), now);
+    progress.on_sent(replica_name(1), now);
+    now += milliseconds{1200};
+    progress.on_response(replica_name(1), now);
+    progress.on_ended(replica_name(0), now);
+    now += milliseconds{10'000};
+    progress.on_response(replica_name(1), now);
+    CHECK(progress.may_send(replica_name(0), now));
+}
