--- a/src/expert_map/map_planner.cpp
+++ b/src/expert_map/map_planner.cpp
@@ -32,8 +32,7 @@
 constexpr double min_gain_per_copy = 0.72;
 /// Minimum gain of each copy of a map, in the same unit. Maps improve by many
 /// small moves, so that a bound as high as that of a whole map would stop the
-/// search early. With 0.45 map_shift_bench copies 5 % less, and the mean skew
-/// rises by 0.012.
+/// search early.
 constexpr double min_gain_of_last_copy = 0.36;
 /// Minimum weight of the gain in a group with spare capacity. Long passes delay
 /// each stream there too, so that maps still follow the largest changes.
@@ -46,8 +45,8 @@
 /// known to be further apart.
 constexpr double min_horizon_s = 1.5;
 constexpr double max_horizon_s = 4;
-/// Time that the urgent part of a map may take to copy. With 0.1 s a skew under
-/// 1.6 is reached 30 ms later in map_shift_bench.
+/// Time that the urgent part of a map may take to copy: about one forward pass,
+/// as it takes effect only between passes.
 constexpr double urgent_copy_s = 0.06;
 /// Skew (a ratio; 1 is balanced) above which a map that ranks still copy is
 /// replaced, and how far above the planned one. After a change of demand 3 is
