--- a/include/hornbeamweir/relay/group_progress.hpp
+++ b/include/hornbeamweir/relay/group_progress.hpp
@@ -38,9 +38,10 @@
     void on_serving(backend_server_id const& replica);
 
     /// \brief Whether a replica may get a request.
-    /// \returns False if its attempts get no response. While no replica
-    /// responds, single requests are permitted at growing intervals, to find
-    /// out when they go on.
+    /// \returns False if its attempts get no response, or got none until their
+    /// end and it has not been heard since. While no replica responds, single
+    /// requests to any are permitted at growing intervals, to find out when
+    /// they resume.
     [[nodiscard]] bool
     may_send(backend_server_id const& replica, time_point now) const;
 
@@ -51,10 +52,11 @@
     }
 
 private:
+    /// Attempts at one replica, or at all.
     struct open_attempts
     {
         std::uint32_t number = 0;
-        /// Last response, or the start of the first attempt.
+        /// Last response, or the start of the first open attempt.
         time_point last_sign{};
         /// Whether there was no response when the last attempt ended.
         bool ended_silent = false;
@@ -68,6 +70,8 @@
     }
 
     duration max_silence_;
+    /// Replicas with open attempts, and those that were silent until the end
+    /// of their attempts.
     std::map<backend_server_id, open_attempts> replicas_;
     open_attempts all_;
     time_point last_sent_{};
