Log what the retry budget decides, and when retries are sent

The logs did not show whether a retry was charged, by which counts, nor how long it waited before it was sent, so the hypotheses of the budget incident could not be told apart. A denial is logged once for each request, as a stalled request asks in each tick. The code of retries moves to a file of its own; no decision changes.

--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -287,7 +287,10 @@
         bool may_have_run,
         std::string const& reason);
     [[nodiscard]] bool
-    may_retry(request_state const& request, bool may_have_run, time_point now);
+    may_retry(request_state& request, bool may_have_run, time_point now);
+    /// Charges a retry to the budget of its service.
+    /// \returns False if the budget is exhausted.
+    [[nodiscard]] bool charge_retry(request_state& request, time_point now);
     void fail(request_iterator it, time_point now, actions& out);
     void check_timeouts(request_iterator it, time_point now, actions& out);
     [[nodiscard]] bool is_stalled(request_state const& request, time_point now);
--- a/include/hornbeamweir/relay/request_state.hpp
+++ b/include/hornbeamweir/relay/request_state.hpp
@@ -54,6 +54,8 @@
     /// When the last attempt failed, and the wait for a retry began.
     time_point failed_at{};
     bool may_have_run = false;
+    /// Whether a retry was not sent because the budget was exhausted.
+    bool retry_was_denied = false;
     /// Whether any replica has responded, even if it rejected the attempt.
     bool reached_replica = false;
     /// Response head; forwarded together with the first data.
--- a/include/hornbeamweir/relay/retry_budget_share.hpp
+++ b/include/hornbeamweir/relay/retry_budget_share.hpp
@@ -21,6 +21,13 @@
     operator==(retry_limits const&, retry_limits const&) = default;
 };
 
+/// \brief Requests and retries of one entry within the window of its budget.
+struct retry_usage
+{
+    std::uint32_t requests = 0;
+    std::uint32_t retries = 0;
+};
+
 /// \brief This entry's share of the retry budget of a service, computed without
 /// communication between entries.
 /// \remarks Sans-I/O. Counts in a sliding window. The ratio applies to the
@@ -41,6 +48,8 @@
     /// \returns False, without a charge, if the budget is exhausted.
     [[nodiscard]] bool try_consume(std::size_t entries, time_point now);
 
+    [[nodiscard]] retry_usage usage(time_point now);
+
 private:
     struct bucket
     {
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -343,7 +343,14 @@
         .with("replica", target.id)
         .with("in_flight", candidates[*chosen].in_flight)
         .with("candidates", candidates.size());
-    log_.debug(line);
+    if (request.attempt == 1)
+        log_.debug(line);
+    else
+        log_.info(line.with(
+            "waited_ms",
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                now - request.failed_at)
+                .count()));
     return true;
 }
 
--- a/src/relay/relay_responses.cpp
+++ b/src/relay/relay_responses.cpp
@@ -12,9 +12,6 @@
 constexpr unsigned first_server_failure = 500;
 constexpr unsigned gateway_timeout = 504;
 constexpr unsigned misdirected = 421;
-/// Minimum time to the deadline for a retry; with less, no response could
-/// arrive in time.
-constexpr duration min_attempt_time = std::chrono::milliseconds{100};
 /// Multiple of the target latency after which an attempt without response data
 /// counts as stalled, if other replicas of the service respond.
 constexpr int stall_latency_factor = 2;
@@ -229,54 +226,6 @@
     return out;
 }
 
-bool relay_core::may_retry(
-    request_state const& request, bool may_have_run, time_point now)
-{
-    if (may_have_run &&
-        request.matched_route.retries == retry_class::at_most_once)
-        return false;
-    if (is_quarantined(request) || is_suspect(request))
-        return false;
-    bool const resumable =
-        request.matched_route.retries == retry_class::resumable_stream &&
-        request.is_event_stream;
-    if (request.first_data_at && !resumable)
-        return false;
-    if (request.counted_attempts >= request.matched_route.max_attempts ||
-        request.deadline - now < min_attempt_time)
-        return false;
-    // The retry budget is not charged if the last attempt never left this
-    // process and no replica has responded. It is charged after an attempt that
-    // a different replica rejected, although max_attempts does not count it,
-    // because a replica received the request.
-    return (!may_have_run && !request.reached_replica) ||
-           service_state_for(request.service)
-               .budget.try_consume(loads_.entry_count(now), now);
-}
-
-void relay_core::retry_or_fail(
-    request_iterator it,
-    bool may_have_run,
-    std::string const& reason,
-    time_point now,
-    actions& out)
-{
-    request_state& request = it->second;
-    request.may_have_run = request.may_have_run || may_have_run;
-    request.last_failure = reason;
-    request.pending_head.reset();
-    request.events.discard_partial_event();
-    log_failed_attempt(request, may_have_run, reason);
-    if (!may_retry(request, may_have_run, now))
-    {
-        fail(it, now, out);
-        return;
-    }
-    request.phase = request_phase::awaiting_retry;
-    request.failed_at = now;
-    retry_or_reject(it, now, out);
-}
-
 bool relay_core::is_stalled(request_state const& request, time_point now)
 {
     bool const others_respond =
--- a/src/relay/retry_budget_share.cpp
+++ b/src/relay/retry_budget_share.cpp
@@ -27,21 +27,26 @@
     ++current(now).requests;
 }
 
-bool retry_budget_share::try_consume(std::size_t entries, time_point now)
+retry_usage retry_budget_share::usage(time_point now)
 {
-    bucket& newest = current(now);
-    double requests = 0;
-    double retries = 1;
+    static_cast<void>(current(now));
+    retry_usage out;
     for (bucket const& it : buckets_)
     {
-        requests += it.requests;
-        retries += it.retries;
+        out.requests += it.requests;
+        out.retries += it.retries;
     }
+    return out;
+}
+
+bool retry_budget_share::try_consume(std::size_t entries, time_point now)
+{
+    retry_usage const used = usage(now);
     double const allowance = limits_.allowance / process_starts_per_window /
                              static_cast<double>(entries);
-    if (retries > limits_.ratio * requests + allowance)
+    if (used.retries + 1 > limits_.ratio * used.requests + allowance)
         return false;
-    ++newest.retries;
+    ++current(now).retries;
     return true;
 }
 
