Charge a retry when it is sent, not when it is decided

A retry was counted in the window in which the attempt before it had failed. It may wait 1.5 s for a replica, its connection takes up to 0.7 s, and a cut link may hold it for 3 s, so the retries of two windows arrived in one; the window also ended up to 250 ms early. A failure now reserves a retry, and its window begins when it is sent; the count is kept for as long as it may still arrive. A reservation ends with its request, and the charge of an attempt that was not sent is taken back.

--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -288,9 +288,11 @@
         std::string const& reason);
     [[nodiscard]] bool
     may_retry(request_state& request, bool may_have_run, time_point now);
-    /// Charges a retry to the budget of its service.
+    /// Undoes what was counted for an attempt that was not sent.
+    void on_not_sent(request_state& request);
+    /// Reserves a retry in the budget of its service.
     /// \returns False if the budget is exhausted.
-    [[nodiscard]] bool charge_retry(request_state& request, time_point now);
+    [[nodiscard]] bool reserve_retry(request_state& request, time_point now);
     void fail(request_iterator it, time_point now, actions& out);
     void check_timeouts(request_iterator it, time_point now, actions& out);
     [[nodiscard]] bool is_stalled(request_state const& request, time_point now);
--- a/include/hornbeamweir/relay/request_state.hpp
+++ b/include/hornbeamweir/relay/request_state.hpp
@@ -25,6 +25,16 @@
     responding
 };
 
+/// \brief What a request holds of the retry budget of its service.
+enum class retry_charge
+{
+    none,
+    /// Its next attempt is reserved.
+    reserved,
+    /// Its current attempt was charged.
+    charged
+};
+
 /// \brief A request of a caller that has not ended.
 struct request_state
 {
@@ -56,8 +66,10 @@
     bool may_have_run = false;
     /// Whether a retry was not sent because the budget was exhausted.
     bool retry_was_denied = false;
-    /// Whether any replica has responded, even if it rejected the attempt.
+    /// Whether any attempt may have arrived at a replica, even if the replica
+    /// rejected it.
     bool reached_replica = false;
+    retry_charge charge = retry_charge::none;
     /// Response head; forwarded together with the first data.
     std::optional<send_head> pending_head;
     unsigned status = 0;
--- a/include/hornbeamweir/relay/retry_budget_share.hpp
+++ b/include/hornbeamweir/relay/retry_budget_share.hpp
@@ -2,6 +2,7 @@
 
 #include <hornbeamweir/core/time.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 
@@ -28,9 +29,10 @@
     std::uint32_t retries = 0;
 };
 
-/// \brief This entry's share of the retry budget of a service, computed without
-/// communication between entries.
-/// \remarks Sans-I/O. Counts in a sliding window. The ratio applies to the
+/// \brief This entry's share of the retry budget of a service.
+/// \remarks Sans-I/O. The budget bounds the retries that arrive at replicas
+/// within any window. A retry is reserved when the attempt before it has
+/// failed, and its window begins when it is sent. The ratio applies to the
 /// requests of this entry; the allowance is divided by the number of entries,
 /// and halved because a restart of the process resets the count.
 class retry_budget_share
@@ -43,11 +45,19 @@
 
     void on_request(time_point now);
 
-    /// \brief Charges a retry to the budget.
+    /// \brief Reserves a retry; on_sent or release must follow.
     /// \param entries Number of entries that share the budget.
-    /// \returns False, without a charge, if the budget is exhausted.
-    [[nodiscard]] bool try_consume(std::size_t entries, time_point now);
+    /// \returns False, without a reservation, if the budget is exhausted.
+    [[nodiscard]] bool try_reserve(std::size_t entries, time_point now);
+    /// \brief Charges a reserved retry that is sent now.
+    void on_sent(time_point now);
+    /// \brief Ends the reservation of a retry that is not sent.
+    void release() noexcept { --reserved_; }
+    /// \brief Takes back the charge of a retry that can't have arrived.
+    void on_not_received(time_point sent_at);
 
+    /// \returns The requests of the window, and the retries that are reserved
+    /// or may arrive within it.
     [[nodiscard]] retry_usage usage(time_point now);
 
 private:
@@ -55,13 +65,14 @@
     {
         time_point start{};
         std::uint32_t requests = 0;
-        std::uint32_t retries = 0;
     };
 
-    [[nodiscard]] bucket& current(time_point now);
+    void expire(time_point now);
 
     retry_limits limits_;
-    std::deque<bucket> buckets_;
+    std::deque<bucket> requests_;
+    std::deque<time_point> sent_;
+    std::uint32_t reserved_ = 0;
 };
 
 } // namespace hornbeamweir
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -290,6 +290,8 @@
 
 void relay_core::erase(request_iterator it)
 {
+    if (it->second.charge == retry_charge::reserved)
+        service_state_for(it->second.service).budget.release();
     requests_.erase(it);
 }
 
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -325,6 +325,11 @@
     rate_limits_.on_sent(target.id, now);
     service_state& state = service_state_for(request.service);
     ++state.own_attempts;
+    if (request.charge == retry_charge::reserved)
+    {
+        state.budget.on_sent(now);
+        request.charge = retry_charge::charged;
+    }
     if (state.progress)
         state.progress->on_sent(target.id, now);
     open_attempt open;
--- a/src/relay/relay_responses.cpp
+++ b/src/relay/relay_responses.cpp
@@ -219,8 +219,10 @@
     else
         quarantine_.evidence().on_ended(run_of(request), now);
     end_attempt(request, attempt_outcome::failed, now);
-    if (!sent)
-        --request.counted_attempts;
+    if (sent)
+        request.reached_replica = true;
+    else
+        on_not_sent(request);
     retry_or_fail(it, sent, reason, now, out);
     dispatch(service, now, out);
     return out;
@@ -332,6 +334,7 @@
     out.push_back(close_attempt{it->first});
     end_attempt(request, attempt_outcome::failed, now);
     request.may_have_run = true;
+    request.reached_replica = true;
     request.last_failure = reason;
     request.pending_head.reset();
     request.events.discard_partial_event();
--- a/src/relay/relay_retries.cpp
+++ b/src/relay/relay_retries.cpp
@@ -12,16 +12,18 @@
 
 } // namespace
 
-bool relay_core::charge_retry(request_state& request, time_point now)
+bool relay_core::reserve_retry(request_state& request, time_point now)
 {
     retry_budget_share& budget = service_state_for(request.service).budget;
     std::size_t const entries = loads_.entry_count(now);
-    bool const is_charged = budget.try_consume(entries, now);
+    bool const is_reserved = budget.try_reserve(entries, now);
+    if (is_reserved)
+        request.charge = retry_charge::reserved;
     // A stalled request asks again in each tick.
-    if (!is_charged && std::exchange(request.retry_was_denied, true))
+    if (!is_reserved && std::exchange(request.retry_was_denied, true))
         return false;
     retry_usage const used = budget.usage(now);
-    event line{is_charged ? "retry_charged" : "retry_denied"};
+    event line{is_reserved ? "retry_reserved" : "retry_denied"};
     line.with("id", request.message.id)
         .with("service", request.service)
         .with("attempt", request.attempt + 1)
@@ -32,8 +34,18 @@
     metrics_.count(
         "hornbeamweir_retries_total",
         {{"service", request.service.str()},
-         {"outcome", is_charged ? "charged" : "denied"}});
-    return is_charged;
+         {"outcome", is_reserved ? "reserved" : "denied"}});
+    return is_reserved;
+}
+
+void relay_core::on_not_sent(request_state& request)
+{
+    --request.counted_attempts;
+    if (request.charge != retry_charge::charged)
+        return;
+    service_state_for(request.service)
+        .budget.on_not_received(request.attempt_started);
+    request.charge = retry_charge::none;
 }
 
 bool relay_core::may_retry(
@@ -52,12 +64,10 @@
     if (request.counted_attempts >= request.matched_route.max_attempts ||
         request.deadline - now < min_attempt_time)
         return false;
-    // The retry budget is not charged if the last attempt never left this
-    // process and no replica has responded. It is charged after an attempt that
-    // a different replica rejected, although max_attempts does not count it,
-    // because a replica received the request.
+    // The first attempt that arrives is no retry. One that a different replica
+    // rejected is charged, although max_attempts does not count it.
     return (!may_have_run && !request.reached_replica) ||
-           charge_retry(request, now);
+           reserve_retry(request, now);
 }
 
 void relay_core::retry_or_fail(
--- a/test/relay/overload_test.cpp
+++ b/test/relay/overload_test.cpp
@@ -236,8 +236,10 @@
     {
         now += milliseconds{10};
         budget.on_request(now);
-        if (budget.try_consume(4, now))
-            retries.push_back(now);
+        if (!budget.try_reserve(4, now))
+            continue;
+        budget.on_sent(now);
+        retries.push_back(now);
     }
     for (time_point const& start : retries)
     {
