Keep the retry budget while entries restart and callers move

Replicas got more retries than the operator's budget allows, just when they failed as a group. Each entry bounded its retries by the requests of its own last 10 s and a part of the allowance. An entry that ended took its count along, and its successor spent the same part again; half of the allowance was meant for that, enough for one restart in a window. And when callers moved, the entry that they left and the one that they moved to spent a part for them within one window.

A process gets a part of it only after a window, when the retries of a predecessor are out of it. No message is needed.

--- a/include/hornbeamweir/relay/relay_core_settings.hpp
+++ b/include/hornbeamweir/relay/relay_core_settings.hpp
@@ -16,6 +16,8 @@
     /// than the time within which a withdrawn key must stop working.
     duration max_staleness = std::chrono::milliseconds{4500};
     retry_limits retry_budget;
+    /// When this process started; the default stands for long ago.
+    time_point started_at{};
 
     [[nodiscard]] friend bool
     operator==(relay_settings const&, relay_settings const&) = default;
--- a/include/hornbeamweir/relay/request_state.hpp
+++ b/include/hornbeamweir/relay/request_state.hpp
@@ -4,6 +4,7 @@
 #include <hornbeamweir/relay/relay_action.hpp>
 #include <hornbeamweir/relay/relay_request.hpp>
 #include <hornbeamweir/relay/request_trait.hpp>
+#include <hornbeamweir/relay/retry_budget_share.hpp>
 #include <hornbeamweir/relay/trait_policy.hpp>
 #include <hornbeamweir/routes/route.hpp>
 
@@ -25,16 +26,6 @@
     responding
 };
 
-/// \brief What a request holds of the retry budget of its service.
-enum class retry_charge
-{
-    none,
-    /// Its next attempt is reserved.
-    reserved,
-    /// Its current attempt was charged.
-    charged
-};
-
 /// \brief A request of a caller that has not ended.
 struct request_state
 {
@@ -69,7 +60,10 @@
     /// Whether any attempt may have arrived at a replica, even if the replica
     /// rejected it.
     bool reached_replica = false;
-    retry_charge charge = retry_charge::none;
+    /// What pays the next attempt, if it is a retry that waits for a replica.
+    std::optional<retry_source> reserved_retry;
+    /// What has paid the current attempt; empty for the first that arrives.
+    std::optional<retry_source> charged_retry;
     /// Response head; forwarded together with the first data.
     std::optional<send_head> pending_head;
     unsigned status = 0;
--- a/include/hornbeamweir/relay/retry_budget_share.hpp
+++ b/include/hornbeamweir/relay/retry_budget_share.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 namespace hornbeamweir
 {
@@ -22,24 +23,33 @@
     operator==(retry_limits const&, retry_limits const&) = default;
 };
 
-/// \brief Requests and retries of one entry within the window of its budget.
-struct retry_usage
+/// \brief The part of a retry budget from which a retry is paid.
+enum class retry_source
 {
-    std::uint32_t requests = 0;
-    std::uint32_t retries = 0;
+    /// What recent requests of this entry have earned.
+    requests,
+    /// This entry's part of the allowance.
+    allowance
 };
 
-/// \brief This entry's share of the retry budget of a service.
-/// \remarks Sans-I/O. The budget bounds the retries that arrive at replicas
-/// within any window. A retry is reserved when the attempt before it has
-/// failed, and its window begins when it is sent. The ratio applies to the
-/// requests of this entry; the allowance is divided by the number of entries,
-/// and halved because a restart of the process resets the count.
+/// \brief This entry's share of the retry budget of a service, computed without
+/// communication between entries.
+/// \remarks Sans-I/O. The budget bounds the retries of all entries that arrive
+/// at replicas within any window. A retry is reserved when the attempt before
+/// it has failed, and paid when it is sent. Each request earns a part of a
+/// retry, which must be spent soon: if callers move to another entry, or a
+/// process is replaced, both may spend within one window what was earned in
+/// two. The allowance is divided by the number of entries; a process has no
+/// part of it until the retries of one that it replaces, which it can't know,
+/// are out of the window.
 class retry_budget_share
 {
 public:
-    explicit retry_budget_share(retry_limits const& limits) noexcept
+    /// \param started_at When this process started.
+    retry_budget_share(
+        retry_limits const& limits, time_point started_at) noexcept
         : limits_{limits}
+        , started_at_{started_at}
     {
     }
 
@@ -47,32 +57,42 @@
 
     /// \brief Reserves a retry; on_sent or release must follow.
     /// \param entries Number of entries that share the budget.
-    /// \returns False, without a reservation, if the budget is exhausted.
-    [[nodiscard]] bool try_reserve(std::size_t entries, time_point now);
+    /// \returns What the retry is paid from; empty, without a reservation, if
+    /// the budget is exhausted.
+    [[nodiscard]] std::optional<retry_source>
+    try_reserve(std::size_t entries, time_point now);
     /// \brief Charges a reserved retry that is sent now.
-    void on_sent(time_point now);
+    void on_sent(retry_source source, time_point now);
     /// \brief Ends the reservation of a retry that is not sent.
-    void release() noexcept { --reserved_; }
+    void release(retry_source source) noexcept;
     /// \brief Takes back the charge of a retry that can't have arrived.
-    void on_not_received(time_point sent_at);
+    void on_not_received(retry_source source, time_point sent_at);
 
-    /// \returns The requests of the window, and the retries that are reserved
-    /// or may arrive within it.
-    [[nodiscard]] retry_usage usage(time_point now);
+    /// \returns The retries that recent requests have earned and that are not
+    /// spent yet.
+    [[nodiscard]] double earned(time_point now);
+    /// \returns The retries that were paid from the allowance, or are reserved
+    /// there.
+    [[nodiscard]] std::size_t allowance_used(time_point now);
 
 private:
     struct bucket
     {
         time_point start{};
-        std::uint32_t requests = 0;
+        double retries = 0;
     };
 
     void expire(time_point now);
+    [[nodiscard]] double allowance(std::size_t entries, time_point now) const;
+    /// \returns Retries that one request earns.
+    [[nodiscard]] double earned_per_request() const;
 
     retry_limits limits_;
-    std::deque<bucket> requests_;
+    time_point started_at_;
+    std::deque<bucket> earned_;
+    /// Times at which retries were sent that the allowance paid.
     std::deque<time_point> sent_;
-    std::uint32_t reserved_ = 0;
+    std::size_t reserved_ = 0;
 };
 
 } // namespace hornbeamweir
--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -60,7 +60,8 @@
         std::chrono::duration<double>{value});
 }
 
-relay::relay_settings make_core_settings(relay_entry_settings const& settings)
+relay::relay_settings
+make_core_settings(relay_entry_settings const& settings, time_point started_at)
 {
     // Reserves time for the request to reach its replica before the
     // confirmation of the configuration expires.
@@ -75,6 +76,7 @@
     out.retry_budget.ratio = settings.retry_ratio;
     out.retry_budget.allowance = settings.retry_allowance;
     out.retry_budget.window = seconds_of(settings.retry_window_s);
+    out.started_at = started_at;
     return out;
 }
 
@@ -102,7 +104,7 @@
         , codec_{codec}
         , log_{settings_.log, settings_.name.str()}
         , random_{system_seed()}
-        , core_{make_core_settings(settings_), log_, metrics_, random_source{random_.next()}}
+        , core_{make_core_settings(settings_, started_at_), log_, metrics_, random_source{random_.next()}}
         , exchanges_{loop_.context(), core_, codec_, suspend_aware_now, [this] { report_loads(); }}
         , callers_{loop_.context(), settings_.callers_address, make_http_limits({}), [this](std::shared_ptr<http_exchange> exchange, http_request_message request) { exchanges_.accept(std::move(exchange), std::move(request)); }, reject_unreadable_request}
         , readiness_{loop_.context(), settings_.readiness_address, http_limits{}, [this](std::shared_ptr<http_exchange> exchange, http_request_message const& request) { handle_readiness_request(*exchange, request); }, reject_unreadable_request}
@@ -339,12 +341,13 @@
         if (*next == settings_)
             return;
         settings_ = *next;
-        core_.update(make_core_settings(settings_));
+        core_.update(make_core_settings(settings_, started_at_));
         event line{"settings_reloaded"};
         line.with("cause", cause);
         log_.info(line);
     }
 
+    time_point const started_at_ = suspend_aware_now();
     relay_entry_settings settings_;
     std::function<settings_result<relay_entry_settings>()> read_settings_;
     relay_codec const& codec_;
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -83,7 +83,7 @@
     {
         service_state created{
             fair_queue{random_source{random_.next()}},
-            retry_budget_share{settings_.retry_budget},
+            retry_budget_share{settings_.retry_budget, settings_.started_at},
             {},
             std::nullopt,
             nullptr,
@@ -290,8 +290,10 @@
 
 void relay_core::erase(request_iterator it)
 {
-    if (it->second.charge == retry_charge::reserved)
-        service_state_for(it->second.service).budget.release();
+    request_state const& request = it->second;
+    if (request.reserved_retry)
+        service_state_for(request.service)
+            .budget.release(*request.reserved_retry);
     requests_.erase(it);
 }
 
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -325,11 +325,9 @@
     rate_limits_.on_sent(target.id, now);
     service_state& state = service_state_for(request.service);
     ++state.own_attempts;
-    if (request.charge == retry_charge::reserved)
-    {
-        state.budget.on_sent(now);
-        request.charge = retry_charge::charged;
-    }
+    request.charged_retry = std::exchange(request.reserved_retry, std::nullopt);
+    if (request.charged_retry)
+        state.budget.on_sent(*request.charged_retry, now);
     if (state.progress)
         state.progress->on_sent(target.id, now);
     open_attempt open;
--- a/src/relay/relay_retries.cpp
+++ b/src/relay/relay_retries.cpp
@@ -16,19 +16,17 @@
 {
     retry_budget_share& budget = service_state_for(request.service).budget;
     std::size_t const entries = loads_.entry_count(now);
-    bool const is_reserved = budget.try_reserve(entries, now);
-    if (is_reserved)
-        request.charge = retry_charge::reserved;
+    request.reserved_retry = budget.try_reserve(entries, now);
+    bool const is_reserved = request.reserved_retry.has_value();
     // A stalled request asks again in each tick.
     if (!is_reserved && std::exchange(request.retry_was_denied, true))
         return false;
-    retry_usage const used = budget.usage(now);
     event line{is_reserved ? "retry_reserved" : "retry_denied"};
     line.with("id", request.message.id)
         .with("service", request.service)
         .with("attempt", request.attempt + 1)
-        .with("window_requests", used.requests)
-        .with("window_retries", used.retries)
+        .with("earned", budget.earned(now))
+        .with("allowance_used", budget.allowance_used(now))
         .with("entries", entries);
     log_.info(line);
     metrics_.count(
@@ -41,11 +39,11 @@
 void relay_core::on_not_sent(request_state& request)
 {
     --request.counted_attempts;
-    if (request.charge != retry_charge::charged)
-        return;
-    service_state_for(request.service)
-        .budget.on_not_received(request.attempt_started);
-    request.charge = retry_charge::none;
+    std::optional<retry_source> const charged =
+        std::exchange(request.charged_retry, std::nullopt);
+    if (charged)
+        service_state_for(request.service)
+            .budget.on_not_received(*charged, request.attempt_started);
 }
 
 bool relay_core::may_retry(
--- a/test/relay/overload_test.cpp
+++ b/test/relay/overload_test.cpp
@@ -229,16 +229,17 @@
     limits.ratio = 0.2;
     limits.allowance = 90;
     limits.window = std::chrono::seconds{10};
-    retry_budget_share budget{limits};
+    retry_budget_share budget{limits, {}};
     std::vector<time_point> retries;
     time_point now{std::chrono::seconds{1}};
     for (int n = 0; n < 3000; ++n)
     {
         now += milliseconds{10};
         budget.on_request(now);
-        if (!budget.try_reserve(4, now))
+        std::optional<retry_source> const source = budget.try_reserve(4, now);
+        if (!source)
             continue;
-        budget.on_sent(now);
+        budget.on_sent(*source, now);
         retries.push_back(now);
     }
     for (time_point const& start : retries)
--- a/test/support/retry_simulation.cpp
+++ b/test/support/retry_simulation.cpp
@@ -78,6 +78,7 @@
     settings.name = process_name{std::to_string(number)};
     settings.data_centre = data_centre_id{"a"};
     settings.retry_budget = options_.limits;
+    settings.started_at = now_;
     std::unique_ptr<relay_core> out = std::make_unique<relay_core>(
         settings, log_, metrics_, random_source{random_.next()});
     out->routes().update(configuration_, now_);
