Divide the retry allowance among all registered entries

An entry divided the allowance among those that it had heard in the last 20 s. Entries that were cut off from each other for longer each took the whole of it. The entries that are registered in the store count as well now, as for the rates of cold replicas; both use the same list.

--- a/include/hornbeamweir/relay/cold_pacing.hpp
+++ b/include/hornbeamweir/relay/cold_pacing.hpp
@@ -7,7 +7,6 @@
 #include <hornbeamweir/telemetry/event_log.hpp>
 #include <hornbeamweir/telemetry/metrics_registry.hpp>
 
-#include <functional>
 #include <set>
 
 namespace hornbeamweir::relay
@@ -33,13 +32,6 @@
     /// \brief Applies a snapshot of the registry.
     void on_replicas(
         std::map<backend_server_id, replica> const& snapshot, time_point now);
-    /// \brief Sets the source of the other entries that are registered, heard
-    /// or not.
-    void
-    set_registered_entries(std::function<std::set<process_name>()> registered)
-    {
-        registered_ = std::move(registered);
-    }
     /// \brief Records that a replica has stated how long it stays cold.
     /// \param source Either response or peer_report.
     void on_reported(
@@ -70,7 +62,6 @@
     event_log& log_;
     metrics_registry& metrics_;
     cold_replicas replicas_;
-    std::function<std::set<process_name>()> registered_;
     /// Configuration from which rates_ was read.
     std::shared_ptr<route_table const> table_;
     /// Services with a rate for cold replicas.
--- a/include/hornbeamweir/relay/replica_load_tracker.hpp
+++ b/include/hornbeamweir/relay/replica_load_tracker.hpp
@@ -4,6 +4,7 @@
 #include <hornbeamweir/core/time.hpp>
 #include <hornbeamweir/replicas/replica.hpp>
 
+#include <functional>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -79,11 +80,22 @@
     [[nodiscard]] rank_status
     status_of(backend_server_id const& id, time_point now) const;
 
-    /// \returns The other entries that have reported within the last 20 s.
-    [[nodiscard]] std::set<process_name> known_peers(time_point now) const;
-
-    /// \returns The number of entries with recent reports, including this one.
-    [[nodiscard]] std::size_t entry_count(time_point now) const;
+    /// \brief Sets the source of the other entries that are registered, heard
+    /// or not.
+    void
+    set_registered_entries(std::function<std::set<process_name>()> registered)
+    {
+        registered_ = std::move(registered);
+    }
+    /// \returns The other entries that may still be running: those that are
+    /// registered, and those that have reported within the last 20 s.
+    [[nodiscard]] std::set<process_name> other_entries(time_point now) const;
+    /// \returns The number of entries that may still be running, including
+    /// this one.
+    [[nodiscard]] std::size_t entry_count(time_point now) const
+    {
+        return other_entries(now).size() + 1;
+    }
 
     /// \returns The open requests of this entry alone.
     [[nodiscard]] std::map<backend_server_id, std::uint32_t> const&
@@ -109,6 +121,7 @@
     std::unordered_map<backend_server_id, std::uint32_t> of_peers_;
     std::map<process_name, peer_load> peers_;
     std::map<backend_server_id, rank_status> ranks_;
+    std::function<std::set<process_name>()> registered_;
 };
 
 } // namespace hornbeamweir
--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -117,7 +117,7 @@
         , state_{settings_.name, std::string{entry_role}, core_.routes(), routes_, replicas_, core_.evacuated(), [this](evacuations const& next) { exchanges_.apply(core_.on_evacuations(next, "entry", suspend_aware_now())); }, registry_, link_, log_, metrics_}
         , crashes_{settings_.name, std::string{entry_role}, core_.quarantine(), registry_, link_, random_source{random_.next()}}
     {
-        core_.cold().set_registered_entries(
+        core_.loads().set_registered_entries(
             [this] { return registry_.names(std::string{entry_role}); });
     }
 
--- a/src/relay/cold_pacing.cpp
+++ b/src/relay/cold_pacing.cpp
@@ -77,12 +77,7 @@
     ticked_at_ = now;
     read_configuration(now);
     if (!rates_.empty())
-    {
-        std::set<process_name> entries = loads_.known_peers(now);
-        if (registered_)
-            entries.merge(registered_());
-        limits_.set_entries(self, entries, now);
-    }
+        limits_.set_entries(self, loads_.other_entries(now), now);
     replicas_.expire(now);
     apply(now);
 }
--- a/src/relay/replica_load_tracker.cpp
+++ b/src/relay/replica_load_tracker.cpp
@@ -103,9 +103,13 @@
     return it->second;
 }
 
-std::set<process_name> replica_load_tracker::known_peers(time_point now) const
+// Registrations may be lost in an outage of the store, and reports in a
+// partition.
+std::set<process_name> replica_load_tracker::other_entries(time_point now) const
 {
     std::set<process_name> out;
+    if (registered_)
+        out = registered_();
     for (auto const& [name, peer] : peers_)
     {
         if (now - peer.received_at <= peer_retention)
@@ -114,17 +118,6 @@
     return out;
 }
 
-std::size_t replica_load_tracker::entry_count(time_point now) const
-{
-    std::size_t count = 1;
-    for (auto const& [name, peer] : peers_)
-    {
-        if (now - peer.received_at <= peer_retention)
-            ++count;
-    }
-    return count;
-}
-
 namespace
 {
 
--- a/test/support/retry_simulation.cpp
+++ b/test/support/retry_simulation.cpp
@@ -82,7 +82,7 @@
     std::unique_ptr<relay_core> out = std::make_unique<relay_core>(
         settings, log_, metrics_, random_source{random_.next()});
     out->routes().update(configuration_, now_);
-    out->cold().set_registered_entries(
+    out->loads().set_registered_entries(
         [this, number]
         {
             std::set<process_name> others;
