--- a/include/hornbeamweir/relay/request_state.hpp
+++ b/include/hornbeamweir/relay/request_state.hpp
@@ -4,6 +4,7 @@
 #include <hornbeamweir/relay/relay_action.hpp>
 #include <hornbeamweir/relay/relay_request.hpp>
 #include <hornbeamweir/relay/request_trait.hpp>
+#include <hornbeamweir/relay/retry_budget_share.hpp>
 #include <hornbeamweir/relay/trait_policy.hpp>
 #include <hornbeamweir/routes/route.hpp>
 
@@ -56,8 +57,13 @@
     bool may_have_run = false;
     /// Whether a retry was not sent because the budget was exhausted.
     bool retry_was_denied = false;
-    /// Whether any replica has responded, even if it rejected the attempt.
+    /// Whether any attempt may have arrived at a replica, even if the replica
+    /// rejected it.
     bool reached_replica = false;
+    /// What pays the next attempt, if it is a retry that waits for a replica.
+    std::optional<retry_source> reserved_retry;
+    /// What has paid the current attempt; empty for the first that arrives.
+    std::optional<retry_source> charged_retry;
     /// Response head; forwarded together with the first data.
     std::optional<send_head> pending_head;
     unsigned status = 0;
