Apply changed retry limits to services that are in use

The budget of a service kept the limits that were in the settings when its first request came, so a lower allowance took effect only with a restart. "changed retry limits apply to a service that is in use" failed before (the retry was sent with an allowance of 0) and passes.

--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -68,7 +68,7 @@
     {
         return quarantine_;
     }
-    void update(relay_settings const& settings) { settings_ = settings; }
+    void update(relay_settings const& settings);
 
     /// \brief Rejects new and queued requests from now on, because they would
     /// not be completed before the process exits. Attempts in progress go on.
--- a/include/hornbeamweir/relay/retry_budget_share.hpp
+++ b/include/hornbeamweir/relay/retry_budget_share.hpp
@@ -53,6 +53,9 @@
     {
     }
 
+    /// \brief Changes the limits; what was spent under the former ones counts.
+    void set_limits(retry_limits const& limits) noexcept { limits_ = limits; }
+
     void on_request(time_point now);
 
     /// \brief Reserves a retry; on_sent or release must follow.
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -33,6 +33,13 @@
 {
 }
 
+void relay_core::update(relay_settings const& settings)
+{
+    settings_ = settings;
+    for (auto& [name, state] : services_)
+        state.budget.set_limits(settings_.retry_budget);
+}
+
 bool relay_core::ready(time_point now) const
 {
     duration const limit{static_cast<duration::rep>(
--- a/test/relay/relay_core_test.cpp
+++ b/test/relay/relay_core_test.cpp
@@ -136,6 +136,24 @@
     CHECK(rejection->retry_after);
 }
 
+// Guards against a budget that keeps the limits of the settings before.
+TEST_CASE("changed retry limits apply to a service that is in use", "[relay]")
+{
+    relay_fixture fixture;
+    std::optional<open_attempt> const sent =
+        find_action<open_attempt>(fixture.request(1, "/safe/x", 3000));
+    REQUIRE(sent);
+    relay_settings settings;
+    settings.data_centre = data_centre_id{"a"};
+    settings.retry_budget.allowance = 0;
+    settings.retry_budget.ratio = 0;
+    fixture.core.update(settings);
+    actions const out = fixture.core.on_failed(
+        1, sent->attempt, attempt_progress::sent, "reset", fixture.now);
+    CHECK_FALSE(find_action<open_attempt>(out));
+    CHECK(find_action<send_error>(out));
+}
+
 TEST_CASE(
     "a response without a replica signature is never forwarded", "[relay]")
 {
