Keep a replica's named rate when the entry that saw it restarts

A replica got seven requests within 4 s where six were tolerated. Entries tell each other which rates they were told; when the entry that had seen one restarted, its next report named none, and all others forgot the rate at once, although it held. What a peer has reported now holds until it is too old by its own time.

A trace shows the restart after which six entries send at once.

--- a/include/hornbeamweir/relay/replica_rate_limits.hpp
+++ b/include/hornbeamweir/relay/replica_rate_limits.hpp
@@ -48,8 +48,9 @@
         std::optional<double> per_second,
         time_point sent_at,
         time_point now);
-    /// \brief Replaces what another entry has seen.
-    void on_peer_report(process_name const& peer, observations seen);
+    /// \brief Records what another entry has seen; what it doesn't name any
+    /// more holds until it is too old.
+    void on_peer_report(process_name const& peer, observations const& seen);
     /// \brief Sets the open requests of this entry and of the others, which
     /// decide on its part of a limit.
     void set_loads(
--- a/src/relay/replica_rate_limits.cpp
+++ b/src/relay/replica_rate_limits.cpp
@@ -74,12 +74,15 @@
 }
 
 void replica_rate_limits::on_peer_report(
-    process_name const& peer, observations seen)
+    process_name const& peer, observations const& seen)
 {
-    if (seen.empty())
-        of_peers_.erase(peer);
-    else
-        of_peers_[peer] = std::move(seen);
+    // A peer that has restarted no longer names a limit that still holds.
+    for (auto const& [id, it] : seen)
+    {
+        observation& known = of_peers_[peer].try_emplace(id, it).first->second;
+        if (it.at > known.at)
+            known = it;
+    }
 }
 
 void replica_rate_limits::set_loads(
