--- a/src/http/pooled_connection.hpp
+++ b/src/http/pooled_connection.hpp
@@ -28,6 +28,8 @@
     /// Time until which the server is expected to keep the connection open.
     time_point usable_until{};
     bool idle = false;
+    /// Whether the server has named the id of a request in a response.
+    bool names_ids = false;
 };
 
 /// \brief The idle connections and counters of a pool.
--- a/test/http/connection_pool_test.cpp
+++ b/test/http/connection_pool_test.cpp
@@ -136,6 +136,24 @@
     CHECK(client.pool.totals().skipped == 1);
 }
 
+// Guards against an earlier refusal that a replica sends once more, and that
+// would be taken for the answer of a request which runs.
+TEST_CASE(
+    "a refusal without an id is no answer on a reused connection", "[http]")
+{
+    std::string const refusal =
+        "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+        "Content-Length: 0\r\n\r\n";
+    scripted_server server{
+        {{response("1", "one"), refusal + response("2", "two")}}};
+    client_fixture client;
+    CHECK(client.get(server.endpoint(), "1").body == "one");
+    client_fixture::outcome const second = client.get(server.endpoint(), "2");
+    CHECK(second.failed);
+    CHECK(second.sent);
+    CHECK_FALSE(second.ended);
+}
+
 TEST_CASE("bytes after a response close its connection", "[http]")
 {
     scripted_server server{
