Continue a stream only with a stream

Errors with a status of 400 and above never reached the caller here. A signed 302 or 204, or a 200 whose body is no event stream, was appended to the stream, and its end completed it. The answer to a resumed attempt must now be a 200 with the type text/event-stream, if it names any.

--- a/src/relay/relay_responses.cpp
+++ b/src/relay/relay_responses.cpp
@@ -8,6 +8,7 @@
 namespace
 {
 
+constexpr unsigned ok = 200;
 constexpr unsigned first_failure_status = 400;
 constexpr unsigned first_server_failure = 500;
 constexpr unsigned gateway_timeout = 504;
@@ -23,6 +24,14 @@
 /// works.
 constexpr duration recent_progress = std::chrono::milliseconds{250};
 
+/// \brief Whether the body of a response may follow the events of another one.
+bool continues_stream(replica_response_head const& head)
+{
+    constexpr std::string_view event_stream = "text/event-stream";
+    std::string const* const type = find_header(head.headers, "Content-Type");
+    return head.status == ok && (!type || type->starts_with(event_stream));
+}
+
 } // namespace
 
 actions relay_core::on_head(
@@ -50,7 +59,8 @@
         on_not_executed(it, head, cause, now, out);
         return out;
     }
-    bool const discard = !head.is_signed || (request.first_data_at && !success);
+    bool const discard =
+        !head.is_signed || (request.first_data_at && !continues_stream(head));
     bool const retry =
         request.matched_route.retries != retry_class::at_most_once && failed &&
         head.status != gateway_timeout && may_retry(request, true, now);
