--- a/src/http/pooled_connection.hpp
+++ b/src/http/pooled_connection.hpp
@@ -30,6 +30,14 @@
     bool idle = false;
     /// Whether the server has named the id of a request in a response.
     bool names_ids = false;
+
+    /// \returns False for a response without an id if the server names ids: it
+    /// may be a response to an earlier request.
+    [[nodiscard]] bool accepts_response(bool has_id) noexcept
+    {
+        names_ids = names_ids || has_id;
+        return has_id || !names_ids;
+    }
 };
 
 /// \brief The idle connections and counters of a pool.
--- a/test/relay/retry_budget_test.cpp
+++ b/test/relay/retry_budget_test.cpp
@@ -1,7 +1,8 @@
+#include "test/support/retry_simulation.hpp"
+
 #include <catch2/catch.hpp>
 
 #include <cstdlib>
-#include <test/support/retry_simulation.hpp>
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
