--- a/review/common/process.cpp
+++ b/review/common/process.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <vector>
@@ -45,6 +46,8 @@
         throw std::runtime_error{"cannot start " + program_};
     if (id == 0)
     {
+        // The process ends with this one, whatever ends it.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         constexpr int mode = 0644;
         int const out =
             ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, mode);
