review: evacuations are ignored after the store came back from a copy

The register of evacuations takes only sets with a higher revision of the store, and no code reads Store-Era. After a drill the revisions start lower, so that a new evacuation has no effect until they have caught up.

Tried: one entry, four replicas in two zones, a store that is away for 1 s and comes back from a copy 8 s old; the zone is evacuated 4.2 s later.

--- a/review/common/store.cpp
+++ b/review/common/store.cpp
@@ -12,6 +12,7 @@
 
 constexpr unsigned ok = 200;
 constexpr unsigned missing = 404;
+constexpr unsigned gone = 410;
 constexpr unsigned conflict = 412;
 constexpr std::string_view digits =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
@@ -68,14 +69,64 @@
     : server_{[this](connection& peer, message const& request)
               {
                   reply const done = on_call(request);
+                  if (done.status == 0)
+                  {
+                      peer.shut_down();
+                      return;
+                  }
                   peer.send(response_text(
                       done.status,
                       boost::json::serialize(done.body),
-                      {{"Content-Type", "application/json"}}));
+                      {{"Content-Type", "application/json"},
+                       {"Store-Era", std::to_string(era())}}));
               }}
 {
 }
 
+void store::go_away()
+{
+    std::lock_guard const lock{mutex_};
+    away_ = true;
+    changed_.notify_all();
+}
+
+std::int64_t store::come_back(std::chrono::milliseconds age)
+{
+    std::lock_guard const lock{mutex_};
+    clock::time_point const copied = clock::now() - age;
+    std::int64_t const newest = revision_;
+    std::erase_if(history_, [&](change const& it) { return it.at > copied; });
+    items_.clear();
+    for (change const& it : history_)
+    {
+        if (it.now)
+            items_[it.key] = *it.now;
+        else
+            items_.erase(it.key);
+    }
+    std::erase_if(
+        leases_, [&](auto const& it) { return it.second.granted > copied; });
+    for (auto& [id, it] : leases_)
+        it.ends = clock::now() + it.time_to_live;
+    revision_ = history_.empty() ? 1 : history_.back().revision;
+    away_ = false;
+    ++era_;
+    changed_.notify_all();
+    return newest - revision_;
+}
+
+bool store::is_up()
+{
+    std::lock_guard const lock{mutex_};
+    return !away_;
+}
+
+std::int64_t store::era()
+{
+    std::lock_guard const lock{mutex_};
+    return era_;
+}
+
 void store::put(std::string const& key, std::string const& value)
 {
     std::lock_guard const lock{mutex_};
@@ -101,7 +152,7 @@
     std::optional<std::string> const& value,
     std::int64_t lease)
 {
-    change next{++revision_, key, std::nullopt};
+    change next{++revision_, key, std::nullopt, clock::now()};
     if (value)
     {
         item& it = items_[key];
@@ -152,6 +203,8 @@
 store::reply store::on_call(message const& request)
 {
     std::unique_lock lock{mutex_};
+    if (away_)
+        return {};
     expire();
     std::string const path = request.target.substr(0, request.target.find('?'));
     if (path == "/hornbeamweir/kv-range")
@@ -175,7 +228,8 @@
             boost::json::parse(request.body)
                 .at("ttlMs")
                 .to_number<std::int64_t>()};
-        leases_[++last_lease_] = {clock::now() + time_to_live, time_to_live};
+        leases_[++last_lease_] = {
+            clock::now() + time_to_live, time_to_live, clock::now()};
         return {ok, {{"lease", last_lease_}, {"ttlMs", time_to_live.count()}}};
     }
     static std::string const keep_path = "/hornbeamweir/kv-keep/";
@@ -209,9 +263,14 @@
     clock::time_point const until =
         clock::now() + std::chrono::milliseconds{std::atoll(
                            query_parameter(target, "waitMs").c_str())};
+    std::int64_t const era = era_;
+    if (after > revision_)
+        return {gone, {}};
     boost::json::array events;
     for (;;)
     {
+        if (away_ || era_ != era)
+            return {};
         for (change const& it : history_)
         {
             if (it.revision <= after || !it.key.starts_with(prefix))
--- a/review/common/store.hpp
+++ b/review/common/store.hpp
@@ -22,6 +22,15 @@
     /// \brief Writes a value as the operator or a replica does.
     void put(std::string const& key, std::string const& value);
     void remove(std::string const& key);
+    /// \brief Goes down: open calls and new ones end without an answer.
+    void go_away();
+    /// \brief Comes back from a copy. What was written since is gone, leases
+    /// too; revisions go back, and are given out again.
+    /// \param age Of the copy, at the time of the call.
+    /// \returns By how much the revision went back.
+    std::int64_t come_back(std::chrono::milliseconds age);
+    /// \brief Whether it can be reached.
+    [[nodiscard]] bool is_up();
     /// \returns Empty if there is no such key.
     [[nodiscard]] std::string value_of(std::string const& key);
 
@@ -40,18 +49,22 @@
         std::int64_t revision = 0;
         std::string key;
         std::optional<item> now;
+        clock::time_point at;
     };
     struct lease
     {
         clock::time_point ends;
         std::chrono::milliseconds time_to_live{};
+        clock::time_point granted;
     };
     struct reply
     {
+        /// 0 if the connection ends without an answer.
         unsigned status = 0;
         boost::json::object body;
     };
 
+    [[nodiscard]] std::int64_t era();
     [[nodiscard]] reply on_call(message const& request);
     [[nodiscard]] reply range(std::string const& target) const;
     [[nodiscard]] reply
@@ -72,6 +85,9 @@
     std::map<std::int64_t, lease> leases_;
     std::int64_t revision_ = 1;
     std::int64_t last_lease_ = 0;
+    bool away_ = false;
+    /// Rises by one each time that the store comes back from a copy.
+    std::int64_t era_ = 1;
     server server_;
 };
 
