--- a/review/common/http.cpp
+++ b/review/common/http.cpp
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <random>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -43,6 +44,17 @@
     return descriptor;
 }
 
+bool is_free(int port, int type)
+{
+    int const descriptor = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
+    sockaddr_in const address = loopback(port);
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-reinterpret-cast)
+    auto const* const generic = reinterpret_cast<sockaddr const*>(&address);
+    bool const out = ::bind(descriptor, generic, sizeof address) == 0;
+    ::close(descriptor);
+    return out;
+}
+
 int port_of(int descriptor)
 {
     sockaddr_in address{};
@@ -284,10 +296,18 @@
 
 int free_port()
 {
-    int const descriptor = bound_socket(0);
-    int const out = port_of(descriptor);
-    ::close(descriptor);
-    return out;
+    // Below the ports that the system gives to outgoing connections, one of
+    // which could take a port before a process is started again.
+    constexpr int first = 20'000;
+    constexpr int last = 32'000;
+    static std::mt19937 random{std::random_device{}()};
+    for (;;)
+    {
+        int const port =
+            std::uniform_int_distribution<int>{first, last}(random);
+        if (is_free(port, SOCK_STREAM) && is_free(port, SOCK_DGRAM))
+            return port;
+    }
 }
 
 std::string query_parameter(std::string const& target, std::string const& name)
--- a/review/common/process.cpp
+++ b/review/common/process.cpp
@@ -74,6 +74,15 @@
     id_ = 0;
 }
 
+std::string process::last_line() const
+{
+    std::ifstream in{folder_ + "/" + name_ + ".log"};
+    std::string out;
+    for (std::string line; std::getline(in, line);)
+        out = line;
+    return out;
+}
+
 bool process::has_ended()
 {
     if (id_ <= 0)
--- a/review/common/process.hpp
+++ b/review/common/process.hpp
@@ -28,6 +28,8 @@
     void signal(int number) const;
     /// \brief Kills the process and waits for its end.
     void kill();
+    /// \returns The last line that it has written.
+    [[nodiscard]] std::string last_line() const;
     /// \returns Whether the process has ended by itself.
     [[nodiscard]] bool has_ended();
 
