An informational response is no longer passed on as the answer

Seen: a backend server that sends "100 Continue" and then its answer made the agent of the product's own deployment pass on status 100 with an empty body as a whole response. One that stopped within the head of the answer after it did the same.

Cause: backend_call took the first head that it read for the final one, while connection_pool skips informational ones. It skips up to eight of them now.

--- a/src/http/backend_call.cpp
+++ b/src/http/backend_call.cpp
@@ -4,6 +4,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <optional>
+
 namespace hornbeamweir
 {
 
@@ -18,6 +20,8 @@
 constexpr std::size_t read_size = 16 * 1024;
 /// Bytes that are kept until they are parsed.
 constexpr std::size_t max_unparsed_bytes = std::size_t{192} * 1024;
+/// Maximum number of informational responses before the final one.
+constexpr int max_informational = 8;
 
 http::request<http::string_body> make_request(http_request_message message)
 {
@@ -54,9 +58,6 @@
         , handlers_{std::move(handlers)}
         , request_{make_request(std::move(message))}
     {
-        parser_.body_limit(boost::none);
-        parser_.header_limit(max_header_bytes);
-        parser_.skip(request_.method() == http::verb::head);
     }
 
     void start(asio::ip::tcp::endpoint const& endpoint, duration timeout)
@@ -105,10 +106,14 @@
 
     void read_head()
     {
+        parser_.emplace();
+        parser_->body_limit(boost::none);
+        parser_->header_limit(max_header_bytes);
+        parser_->skip(request_.method() == http::verb::head);
         http::async_read_header(
             stream_,
             buffer_,
-            parser_,
+            *parser_,
             [self =
                  shared_from_this()](boost::system::error_code ec, std::size_t)
             { self->on_head(ec); });
@@ -123,8 +128,20 @@
             fail(result_code::backend_failed, ec, true);
             return;
         }
+        constexpr unsigned first_final_status = 200;
+        if (parser_->get().result_int() < first_final_status)
+        {
+            if (++informational_ > max_informational)
+                fail(
+                    result_code::backend_failed,
+                    http::make_error_code(http::error::bad_status),
+                    true);
+            else
+                read_head();
+            return;
+        }
         header_list headers;
-        for (auto it = parser_.get().begin(); it != parser_.get().end(); ++it)
+        for (auto it = parser_->get().begin(); it != parser_->get().end(); ++it)
         {
             if (!is_hop_by_hop(it->name_string()))
             {
@@ -133,14 +150,14 @@
             }
         }
         head_done_ = true;
-        handlers_.head(parser_.get().result_int(), std::move(headers));
+        handlers_.head(parser_->get().result_int(), std::move(headers));
         if (!closed_)
             read_some();
     }
 
     void read_some()
     {
-        if (parser_.is_done())
+        if (parser_->is_done())
         {
             end();
             return;
@@ -149,12 +166,12 @@
             return;
         reading_ = true;
         chunk_.resize(std::min(credit_, read_size));
-        parser_.get().body().data = chunk_.data();
-        parser_.get().body().size = chunk_.size();
+        parser_->get().body().data = chunk_.data();
+        parser_->get().body().size = chunk_.size();
         http::async_read_some(
             stream_,
             buffer_,
-            parser_,
+            *parser_,
             [self =
                  shared_from_this()](boost::system::error_code ec, std::size_t)
             { self->on_data(ec); });
@@ -172,7 +189,7 @@
             fail(result_code::answer_incomplete, ec, true);
             return;
         }
-        std::size_t const n = chunk_.size() - parser_.get().body().size;
+        std::size_t const n = chunk_.size() - parser_->get().body().size;
         if (n > 0)
         {
             credit_ -= n;
@@ -202,10 +219,11 @@
     beast::tcp_stream stream_;
     backend_call_handlers handlers_;
     http::request<http::string_body> request_;
-    http::response_parser<http::buffer_body> parser_;
+    std::optional<http::response_parser<http::buffer_body>> parser_;
     beast::flat_buffer buffer_{max_unparsed_bytes};
     std::string chunk_;
     std::size_t credit_ = 0;
+    int informational_ = 0;
     bool head_done_ = false;
     bool reading_ = false;
     bool closed_ = false;
