Evacuations hold after the store returned from an older copy

Cause: evacuation_register took only sets with a higher revision than the last one. Revisions go back with the copy and are given out again, so each newer set was ignored until the revisions had caught up; the entry's own log shows the reads.

Change: the store's era (header Store-Era) is read from each reply and orders positions before the revision (store_position). The watch reads all again when the era changes, and late replies of an earlier era are dropped. An evacuation that the copy lacks is retained until the operator has written it again, for up to 10 s, and entries tell each other what they retain, since a process that has started in between doesn't know it. A store without the header behaves as before. Changes of the era are logged and counted.

--- a/include/hornbeamweir/peers/state_sharing.hpp
+++ b/include/hornbeamweir/peers/state_sharing.hpp
@@ -20,7 +20,9 @@
     time_point configuration_as_of{};
     std::uint64_t replicas_hash = 0;
     time_point replicas_as_of{};
+    /// As in the store, and what it has lost; see evacuation_register.
     evacuations evacuated{};
+    evacuation_register::retained_map retained{};
 };
 
 /// \brief known_state as sent to another process: ages instead of times.
@@ -31,7 +33,9 @@
     duration configuration_age{};
     std::uint64_t replicas_hash = 0;
     duration replicas_age{};
+    /// As in the store, and what it has lost; see evacuation_register.
     evacuations evacuated{};
+    evacuation_register::retained_map retained{};
 };
 
 /// \brief Lets most entries of a large fleet ask a few others whether their
--- a/include/hornbeamweir/platform/change_poller.hpp
+++ b/include/hornbeamweir/platform/change_poller.hpp
@@ -12,7 +12,14 @@
     std::vector<watch_event> events;
     /// Revision up to which the events are complete.
     std::int64_t revision = 0;
-
+    /// Era of the revisions. If it is not that of the revision after which
+    /// changes were requested, events may be missing.
+    std::uint64_t era = 0;
+
+    [[nodiscard]] store_position position() const noexcept
+    {
+        return {era, revision};
+    }
     [[nodiscard]] friend bool
     operator==(change_batch const&, change_batch const&) = default;
 };
--- a/include/hornbeamweir/platform/platform.hpp
+++ b/include/hornbeamweir/platform/platform.hpp
@@ -2,6 +2,7 @@
 
 #include <hornbeamweir/core/error.hpp>
 #include <hornbeamweir/core/time.hpp>
+#include <hornbeamweir/platform/store_position.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -31,7 +32,13 @@
 {
     std::map<std::string, stored_value> values;
     std::int64_t revision = 0;
+    /// Era of the revisions; see store_position.
+    std::uint64_t era = 0;
 
+    [[nodiscard]] store_position position() const noexcept
+    {
+        return {era, revision};
+    }
     [[nodiscard]] friend bool
     operator==(range_reply const&, range_reply const&) = default;
 };
@@ -77,6 +84,8 @@
     std::int64_t revision = 0;
     /// Values of reads_on_failure.
     std::map<std::string, stored_value> values;
+    /// Era of the revisions; see store_position.
+    std::uint64_t era = 0;
 
     [[nodiscard]] friend bool
     operator==(transaction_reply const&, transaction_reply const&) = default;
@@ -117,6 +126,10 @@
     platform& operator=(platform const&) = delete;
     virtual ~platform() = default;
 
+    /// \returns The newest era that the service has stated in a reply; 0 if it
+    /// states none. See store_position.
+    [[nodiscard]] virtual std::uint64_t era() const noexcept { return 0; }
+
     /// \brief Reads all keys with a prefix.
     virtual void read_prefix(std::string prefix, handler<range_reply> done) = 0;
 
--- /dev/null
+++ b/include/hornbeamweir/platform/store_position.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace hornbeamweir
+{
+
+/// \brief A state of the platform's store, ordered by time.
+/// \remarks A store that is replaced by an older copy of itself gives its
+/// revisions out again, for other changes. Revisions are therefore comparable
+/// only within an era.
+struct store_position
+{
+    /// Highest era that a fencing token can hold; see fence_of().
+    static constexpr std::uint64_t max_era = (std::uint64_t{1} << 13U) - 1;
+
+    /// Rises each time the store is replaced by an older copy; 0 if the store
+    /// does not state it.
+    std::uint64_t era = 0;
+    std::int64_t revision = 0;
+
+    [[nodiscard]] friend constexpr auto
+    operator<=>(store_position const&, store_position const&) = default;
+};
+
+/// \returns The fencing token of a write, which rises with its position and is
+/// exact as a JSON number; the revision itself if the store states no era.
+[[nodiscard]] constexpr std::uint64_t
+fence_of(store_position const& it) noexcept
+{
+    constexpr unsigned revision_bits = 40;
+    return (it.era << revision_bits) + static_cast<std::uint64_t>(it.revision);
+}
+
+} // namespace hornbeamweir
--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -112,6 +112,12 @@
     /// on; attempts in progress there go on.
     [[nodiscard]] actions on_evacuations(
         evacuations const& next, std::string_view source, time_point now);
+    /// \brief Applies evacuations that the store has lost and another entry
+    /// retains; see evacuation_register.
+    [[nodiscard]] actions on_retained_evacuations(
+        evacuation_register::retained_map const& told,
+        std::uint64_t era,
+        time_point now);
     [[nodiscard]] evacuation_register const& evacuated() const noexcept
     {
         return evacuated_;
@@ -245,6 +251,14 @@
     /// Judges crashes, and ends the requests that must not be sent any more.
     void update_quarantine(time_point now, actions& out);
     void stop_quarantined(request_iterator it, time_point now, actions& out);
+    void reject_if_waiting(request_iterator it, time_point now, actions& out);
+    void apply_evacuations(
+        std::set<data_centre_id> const& before,
+        std::string_view source,
+        time_point now,
+        actions& out);
+    void expire_evacuations(time_point now, actions& out);
+    void log_retained(time_point now);
     void log_evacuations(
         std::set<data_centre_id> const& before, std::string_view source);
     /// \returns This entry's attempts in progress in a data centre.
--- a/include/hornbeamweir/routes/route_configuration_watcher.hpp
+++ b/include/hornbeamweir/routes/route_configuration_watcher.hpp
@@ -78,7 +78,7 @@
     std::function<void(time_point)> confirmed_;
     std::function<void(evacuations)> evacuated_;
     boost::asio::steady_timer timer_;
-    std::int64_t revision_ = 0;
+    store_position position_;
     std::set<data_centre_id> evacuated_data_centres_;
     duration poll_wait_;
     bool continuous_ = true;
--- a/src/daemon/rank_agent_daemon.cpp
+++ b/src/daemon/rank_agent_daemon.cpp
@@ -13,6 +13,7 @@
 #include "order_log.hpp"
 #include "order_sender.hpp"
 #include "rank_monitor.hpp"
+#include "store_era_monitor.hpp"
 
 #include <boost/json/serialize.hpp>
 
@@ -85,6 +86,7 @@
     void tick()
     {
         time_point const now = suspend_aware_now();
+        store_era_.on_tick();
         monitor_.on_tick(must_report(now));
         coordination_.on_tick();
         if (now - traffic_written_at_ >= traffic_interval)
@@ -364,6 +366,7 @@
     rank_monitor monitor_;
     admin_endpoint admin_;
     std::unique_ptr<polled_platform> platform_;
+    store_era_monitor store_era_{*platform_, log_, metrics_};
     group_coordination coordination_;
     peer_registry registry_;
     datagram_link link_;
--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -15,6 +15,7 @@
 #include "daemon_loop.hpp"
 #include "relay_exchanges.hpp"
 #include "state_exchange.hpp"
+#include "store_era_monitor.hpp"
 #include "unreadable_request.hpp"
 
 #include <boost/json/serialize.hpp>
@@ -114,7 +115,7 @@
         , replicas_{loop_.context(), *platform_, codec_, log_, suspend_aware_now, [this](replica_watcher::snapshot snapshot) { apply_replicas(std::move(snapshot)); }}
         , registry_{loop_.context(), *platform_, log_, std::string{entry_role}, settings_.name, udp_endpoint(settings_.peers_address)}
         , link_{loop_.context(), udp_endpoint(settings_.peers_address), std::string{entry_role}, settings_.name.str(), random_.next(), metrics_, [this](boost::asio::ip::udp::endpoint const& from, wire::datagram const& message) { on_datagram(from, message); }}
-        , state_{settings_.name, std::string{entry_role}, core_.routes(), routes_, replicas_, core_.evacuated(), [this](evacuations const& next) { exchanges_.apply(core_.on_evacuations(next, "entry", suspend_aware_now())); }, registry_, link_, log_, metrics_}
+        , state_{settings_.name, std::string{entry_role}, core_.routes(), routes_, replicas_, core_.evacuated(), [this](evacuations const& next, evacuation_register::retained_map const& retained) { adopt_evacuations(next, retained); }, registry_, link_, log_, metrics_}
         , crashes_{settings_.name, std::string{entry_role}, core_.quarantine(), registry_, link_, random_source{random_.next()}}
     {
         core_.loads().set_registered_entries(
@@ -144,6 +145,7 @@
     void tick()
     {
         time_point const now = suspend_aware_now();
+        store_era_.on_tick();
         exchanges_.apply(core_.on_tick(now));
         report_loads();
         state_.on_tick(now);
@@ -187,6 +189,16 @@
         log_.info(line);
     }
 
+    void adopt_evacuations(
+        evacuations const& next,
+        evacuation_register::retained_map const& retained)
+    {
+        time_point const now = suspend_aware_now();
+        exchanges_.apply(core_.on_evacuations(next, "entry", now));
+        exchanges_.apply(
+            core_.on_retained_evacuations(retained, next.era, now));
+    }
+
     void apply_replicas(replica_watcher::snapshot snapshot)
     {
         core_.cold().on_replicas(snapshot, suspend_aware_now());
@@ -361,6 +373,7 @@
     http_server readiness_;
     admin_endpoint admin_;
     std::unique_ptr<polled_platform> platform_;
+    store_era_monitor store_era_{*platform_, log_, metrics_};
     route_configuration_watcher routes_;
     replica_watcher replicas_;
     peer_registry registry_;
--- a/src/daemon/state_exchange.cpp
+++ b/src/daemon/state_exchange.cpp
@@ -28,13 +28,20 @@
 
 void adopt_evacuations(
     wire::state_answer const& answer,
-    std::function<void(evacuations)> const& adopt)
+    state_exchange::evacuation_handler const& adopt)
 {
     evacuations told;
     told.revision = answer.evacuated_revision();
+    told.era = answer.evacuated_era();
     for (std::string const& name : answer.evacuated())
         told.data_centres.emplace(name);
-    adopt(std::move(told));
+    evacuation_register::retained_map retained;
+    for (wire::retained_evacuation const& it : answer.retained())
+    {
+        retained.emplace(
+            data_centre_id{it.data_centre()}, age_of(it.remaining_us()));
+    }
+    adopt(told, retained);
 }
 
 } // namespace
@@ -46,7 +53,7 @@
     route_configuration_watcher& configuration,
     replica_watcher& replicas,
     evacuation_register const& evacuated,
-    std::function<void(evacuations)> adopt,
+    evacuation_handler adopt,
     peer_registry const& peers,
     datagram_link& link,
     event_log& log,
@@ -65,7 +72,7 @@
 {
 }
 
-known_state state_exchange::known() const
+known_state state_exchange::known(time_point now) const
 {
     known_state out;
     if (std::shared_ptr<route_table const> const table = routes_.table())
@@ -73,7 +80,8 @@
     out.configuration_as_of = routes_.confirmed_at();
     out.replicas_hash = replicas_.hash();
     out.replicas_as_of = replicas_.as_of();
-    out.evacuated = evacuated_.current();
+    out.evacuated = evacuated_.stored();
+    out.retained = evacuated_.retained(now);
     return out;
 }
 
@@ -122,7 +130,7 @@
         line.with("reason", next.reason)
             .with("configuration", next.read_configuration ? "yes" : "no")
             .with("replicas", next.read_replicas ? "yes" : "no")
-            .with("version", known().configuration_version)
+            .with("version", known(now).configuration_version)
             .with("staleness_ms", routes_.staleness(now).count() / 1000);
         log_.info(line);
         metrics_.count(
@@ -146,7 +154,8 @@
     wire::state_question const& question,
     time_point now)
 {
-    send_answer(from, state_sharing::answer_of(known(), question.nonce(), now));
+    send_answer(
+        from, state_sharing::answer_of(known(now), question.nonce(), now));
 }
 
 void state_exchange::send_answer(
@@ -162,12 +171,19 @@
     for (data_centre_id const& it : answer.evacuated.data_centres)
         out.add_evacuated(it.str());
     out.set_evacuated_revision(answer.evacuated.revision);
+    out.set_evacuated_era(answer.evacuated.era);
+    for (auto const& [data_centre, remaining] : answer.retained)
+    {
+        wire::retained_evacuation& row = *out.add_retained();
+        row.set_data_centre(data_centre.str());
+        row.set_remaining_us(microseconds_of(remaining));
+    }
     link_.send(to, std::move(message));
 }
 
 void state_exchange::send_hints(time_point now)
 {
-    known_state const own = known();
+    known_state const own = known(now);
     if (own.configuration_version == hinted_version_ &&
         own.replicas_hash == hinted_hash_)
         return;
@@ -195,7 +211,7 @@
         return;
     told_evacuated_ = current;
     evacuations_told_at_ = now;
-    send_to_all(known(), now);
+    send_to_all(known(now), now);
 }
 
 void state_exchange::on_answer(wire::state_answer const& answer, time_point now)
@@ -203,7 +219,7 @@
     adopt_evacuations(answer, adopt_);
     if (answer.nonce() == 0)
     {
-        known_state const own = known();
+        known_state const own = known(now);
         if (answer.configuration_version() != own.configuration_version ||
             answer.replicas_hash() != own.replicas_hash)
             sharing_.on_hint();
@@ -215,8 +231,9 @@
         age_of(answer.configuration_age_us()),
         answer.replicas_hash(),
         age_of(answer.replicas_age_us()),
+        {},
         {}};
-    perform(sharing_.on_answer(decoded, known(), now), now);
+    perform(sharing_.on_answer(decoded, known(now), now), now);
 }
 
 } // namespace hornbeamweir
--- a/src/daemon/state_exchange.hpp
+++ b/src/daemon/state_exchange.hpp
@@ -17,6 +17,10 @@
 class state_exchange
 {
 public:
+    /// Receives a set of the store, and what the sender retains beside it.
+    using evacuation_handler = std::function<void(
+        evacuations const&, evacuation_register::retained_map const&)>;
+
     state_exchange(
         process_name self,
         std::string role,
@@ -24,7 +28,7 @@
         route_configuration_watcher& configuration,
         replica_watcher& replicas,
         evacuation_register const& evacuated,
-        std::function<void(evacuations)> adopt,
+        evacuation_handler adopt,
         peer_registry const& peers,
         datagram_link& link,
         event_log& log,
@@ -38,7 +42,7 @@
     void on_answer(wire::state_answer const& answer, time_point now);
 
 private:
-    [[nodiscard]] known_state known() const;
+    [[nodiscard]] known_state known(time_point now) const;
     void perform(state_sharing::step const& next, time_point now);
     void
     send_answer(datagram_link::endpoint const& to, state_answer const& answer);
@@ -55,7 +59,7 @@
     route_configuration_watcher& configuration_;
     replica_watcher& replicas_;
     evacuation_register const& evacuated_;
-    std::function<void(evacuations)> adopt_;
+    evacuation_handler adopt_;
     peer_registry const& peers_;
     datagram_link& link_;
     event_log& log_;
--- a/src/peers/state_sharing.cpp
+++ b/src/peers/state_sharing.cpp
@@ -110,7 +110,8 @@
         now - own.configuration_as_of,
         own.replicas_hash,
         now - own.replicas_as_of,
-        own.evacuated};
+        own.evacuated,
+        own.retained};
 }
 
 } // namespace hornbeamweir
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -361,6 +361,7 @@
 {
     actions out;
     loads_.expire(now);
+    expire_evacuations(now, out);
     update_quarantine(now, out);
     share_rates(now);
     for (auto& [name, state] : services_)
--- a/src/relay/relay_evacuations.cpp
+++ b/src/relay/relay_evacuations.cpp
@@ -3,15 +3,46 @@
 namespace hornbeamweir::relay
 {
 
-// Requests that wait for a replica are dispatched again: after a return there
-// are more replicas to choose from, and without any the wait is in vain.
 actions relay_core::on_evacuations(
     evacuations const& next, std::string_view source, time_point now)
 {
     actions out;
+    std::uint64_t const era = evacuated_.stored().era;
+    std::set<data_centre_id> const before = evacuated_.current().data_centres;
+    if (evacuated_.update(next, now))
+        apply_evacuations(before, source, now, out);
+    if (evacuated_.stored().era != era)
+        log_retained(now);
+    return out;
+}
+
+actions relay_core::on_retained_evacuations(
+    evacuation_register::retained_map const& told,
+    std::uint64_t era,
+    time_point now)
+{
+    actions out;
+    std::set<data_centre_id> const before = evacuated_.current().data_centres;
+    if (evacuated_.adopt_retained(told, era, now))
+        apply_evacuations(before, "retained by another entry", now, out);
+    return out;
+}
+
+void relay_core::expire_evacuations(time_point now, actions& out)
+{
     std::set<data_centre_id> const before = evacuated_.current().data_centres;
-    if (!evacuated_.update(next))
-        return out;
+    if (evacuated_.expire(now))
+        apply_evacuations(before, "retention ended", now, out);
+}
+
+// Requests that wait for a replica are dispatched again: after a return there
+// are more replicas to choose from, and without any the wait is in vain.
+void relay_core::apply_evacuations(
+    std::set<data_centre_id> const& before,
+    std::string_view source,
+    time_point now,
+    actions& out)
+{
     directory_.set_evacuated(evacuated_.current().data_centres);
     log_evacuations(before, source);
     for (data_centre_id const& it : before)
@@ -38,7 +69,20 @@
         }
     }
     dispatch_all(now, out);
-    return out;
+}
+
+void relay_core::log_retained(time_point now)
+{
+    for (auto const& [data_centre, remaining] : evacuated_.retained(now))
+    {
+        event line{"evacuation_retained"};
+        line.with("data_centre", data_centre)
+            .with("reason", "missing in the store since its era changed")
+            .with("era", evacuated_.current().era)
+            .with("revision", evacuated_.current().revision);
+        log_.warning(line);
+        metrics_.count("hornbeamweir_evacuations_retained_total", {});
+    }
 }
 
 void relay_core::log_evacuations(
@@ -57,6 +101,7 @@
         event line{"data_centre_changed"};
         line.with("data_centre", it)
             .with("evacuated", is_evacuated ? "yes" : "no")
+            .with("era", evacuated_.current().era)
             .with("revision", evacuated_.current().revision)
             .with("source", source)
             .with("replicas", replicas[it])
--- a/src/routes/route_configuration_watcher.cpp
+++ b/src/routes/route_configuration_watcher.cpp
@@ -92,7 +92,12 @@
         return;
     }
     log_recovery();
-    revision_ = reply->revision;
+    if (reply->era < position_.era)
+    {
+        schedule_read(retry_delay);
+        return;
+    }
+    position_ = reply->position();
     evacuated_data_centres_.clear();
     for (auto const& [key, stored] : reply->values)
     {
@@ -119,7 +124,7 @@
     time_point const requested_at = clock_();
     poller_.poll_changes(
         codec_.operator_prefix(),
-        revision_,
+        position_.revision,
         poll_wait_,
         [this, requested_at, wait = poll_wait_, weak = std::weak_ptr{alive_}](
             result<change_batch> const& batch)
@@ -129,6 +134,9 @@
         });
 }
 
+// Revisions of an earlier era are given out again, so the events of a batch of
+// another era don't follow what was read; everything is read again.
+//
 // A call that returns no changes after the full wait confirms that no newer
 // configuration existed when the wait ended. After a shorter wait, or with
 // changes to other keys, this is certain only for the time of the call.
@@ -144,7 +152,19 @@
             schedule_read(retry_delay);
         return;
     }
-    revision_ = std::max(revision_, batch->revision);
+    if (batch->era != position_.era)
+    {
+        event line{"history_discarded"};
+        line.with("dependency", "configuration")
+            .with("era", position_.era)
+            .with("new_era", batch->era)
+            .with("revision", position_.revision)
+            .with("new_revision", batch->revision);
+        log_.warning(line);
+        read();
+        return;
+    }
+    position_.revision = std::max(position_.revision, batch->revision);
     bool configuration_changed = false;
     for (watch_event const& it : batch->events)
         configuration_changed =
@@ -185,7 +205,7 @@
 
 void route_configuration_watcher::report_evacuations()
 {
-    evacuated_({evacuated_data_centres_, revision_});
+    evacuated_({evacuated_data_centres_, position_.revision, position_.era});
 }
 
 void route_configuration_watcher::on_configuration(
