Fencing tokens rise when the store is replaced by an older copy

Ranks reject orders with a lower fencing token than they have seen, so that a coordinator elected after the store's return could not release a held pass until the store's revisions had caught up, and other agents took its heartbeats for those of a former leader.

Cause: the token was the revision of the leader's key. It is now made of the store's era and the revision, which fits a JSON number, and is the revision alone for a store without an era. A leader gives up when the era changes, since its lease may be gone, and replaces its own key at once; a commit in another era than the campaign's read doesn't count.

--- a/include/hornbeamweir/peers/leadership.hpp
+++ b/include/hornbeamweir/peers/leadership.hpp
@@ -91,9 +91,13 @@
     /// suspended for so long that another one may have taken over.
     [[nodiscard]] bool is_leader() const;
 
-    /// \brief Returns the fencing token: the store's revision at which this
-    /// process became leader. It rises with each leader.
-    [[nodiscard]] std::uint64_t fence() const noexcept { return fence_; }
+    /// \brief Returns the fencing token: the store's position at which this
+    /// process became leader, see fence_of(). It rises with each leader, also
+    /// after the store was replaced by an older copy.
+    [[nodiscard]] std::uint64_t fence() const noexcept
+    {
+        return fence_of(acquired_);
+    }
 
     /// \brief Campaigns or renews the lease when due.
     void on_tick();
@@ -106,10 +110,15 @@
         result<transaction_reply> const& reply, time_point requested_at);
     void renew();
     void schedule_campaign(duration min_delay);
+    /// \brief Ends the leadership, and campaigns again at once.
+    void interrupt(std::string_view reason);
     /// \brief Notes who leads; a leader counts as silent from then on.
-    void note_holder(std::int64_t revision);
-    /// \returns Whether a key of this revision may be replaced.
-    [[nodiscard]] bool may_replace(std::int64_t revision) const;
+    void note_holder(std::uint64_t fence);
+    /// \returns Whether the leader's key, as read in an era, may be replaced.
+    [[nodiscard]] bool
+    may_replace(stored_value const& key, std::uint64_t era) const;
+    /// \returns Whether this process has written the key.
+    [[nodiscard]] bool is_own(stored_value const& key, std::uint64_t era) const;
 
     platform& platform_;
     event_log& log_;
@@ -123,11 +132,10 @@
     std::int64_t previous_revision_ = 0;
     bool record_written_ = false;
     bool fences_checked_;
-    /// Revision of the leader's key, by its heartbeats or as read; 0 if
-    /// unknown.
-    std::int64_t holder_revision_ = 0;
-    /// Revision of the key of the leader whose heartbeats were last heard.
-    std::int64_t heard_revision_ = 0;
+    /// Fencing token of the leader, by its heartbeats or as read; 0 if unknown.
+    std::uint64_t holder_fence_ = 0;
+    /// Fencing token of the leader whose heartbeats were last heard.
+    std::uint64_t heard_fence_ = 0;
     /// Time of the leader's last sign of life.
     time_point holder_seen_at_{};
     /// Revision of the leader's key that a campaign replaces; 0 if absent.
@@ -138,7 +146,10 @@
     time_point replaced_at_{};
     time_point last_tick_at_{};
     std::int64_t lease_ = 0;
-    std::uint64_t fence_ = 0;
+    /// Position at which this process last became leader.
+    store_position acquired_;
+    /// Era of the store in which the pending campaign began.
+    std::uint64_t campaign_era_ = 0;
     time_point valid_until_{};
     time_point next_action_{};
     bool call_pending_ = false;
--- a/src/peers/leadership.cpp
+++ b/src/peers/leadership.cpp
@@ -78,38 +78,54 @@
 
 void leadership::on_leader_alive(std::uint64_t fence)
 {
-    std::int64_t const revision = static_cast<std::int64_t>(fence);
     // An earlier leader may have resumed and not noticed its successor yet.
-    if (revision < holder_revision_)
+    if (fence < holder_fence_)
         return;
-    if (valid_until_ != time_point{} && fence > fence_)
+    if (valid_until_ != time_point{} && fence > this->fence())
         step_down();
-    note_holder(revision);
-    heard_revision_ = revision;
+    note_holder(fence);
+    heard_fence_ = fence;
     if (!is_leader())
         schedule_campaign(fences_checked_ ? silence_limit : leader_timeout);
 }
 
-void leadership::note_holder(std::int64_t revision)
+void leadership::note_holder(std::uint64_t fence)
 {
-    holder_revision_ = revision;
+    holder_fence_ = fence;
     holder_seen_at_ = clock_();
 }
 
 // Only a leader that was heard before can be silent: at the start of a fleet,
 // processes that don't know each other yet would replace each other in turn. A
 // process that has led may replace its own key at once.
-bool leadership::may_replace(std::int64_t revision) const
+bool leadership::may_replace(stored_value const& key, std::uint64_t era) const
 {
     if (!fences_checked_)
         return false;
-    bool const is_own = revision == static_cast<std::int64_t>(fence_);
     time_point const now = clock_();
-    bool const is_silent = revision == holder_revision_ &&
-                           revision == heard_revision_ &&
+    std::uint64_t const fence = fence_of({era, key.modify_revision});
+    bool const is_silent = fence == holder_fence_ && fence == heard_fence_ &&
                            now - holder_seen_at_ >= silence_limit &&
                            now - replaced_at_ >= min_replacement_interval;
-    return is_own || is_silent;
+    return is_own(key, era) || is_silent;
+}
+
+// After a change of the era, the store may contain an earlier key of this
+// process. Its revision may have been given out again, to another process.
+bool leadership::is_own(stored_value const& key, std::uint64_t era) const
+{
+    bool const has_led = acquired_.revision != 0;
+    return has_led && key.value == holder_ &&
+           (era != acquired_.era || key.modify_revision == acquired_.revision);
+}
+
+void leadership::interrupt(std::string_view reason)
+{
+    event line{"leadership_interrupted"};
+    line.with("key", key_).with("fence", fence()).with("reason", reason);
+    log_.warning(line);
+    valid_until_ = {};
+    schedule_campaign({});
 }
 
 void leadership::on_leader_left()
@@ -123,7 +139,7 @@
     if (is_leader())
     {
         event line{"leadership_stepped_down"};
-        line.with("key", key_).with("fence", fence_);
+        line.with("key", key_).with("fence", fence());
         log_.warning(line);
     }
     valid_until_ = {};
@@ -144,8 +160,7 @@
     call_pending_ = true;
     std::string const holder_key = key_ + std::string{holder_suffix};
     transaction remove;
-    remove.conditions.push_back(
-        {holder_key, static_cast<std::int64_t>(fence_)});
+    remove.conditions.push_back({holder_key, acquired_.revision});
     remove.writes.push_back({holder_key, std::nullopt, 0});
     platform_.commit(
         std::move(remove),
@@ -157,7 +172,7 @@
             call_pending_ = false;
             event line{"leadership_released"};
             line.with("key", key_)
-                .with("fence", fence_)
+                .with("fence", fence())
                 .with("removed", reply && reply->succeeded ? "yes" : "no");
             log_.info(line);
         });
@@ -179,15 +194,11 @@
         // The leader's heartbeats of that time may still be unread.
         holder_seen_at_ = now;
         if (valid_until_ != time_point{})
-        {
-            event line{"leadership_interrupted"};
-            line.with("key", key_).with("fence", fence_);
-            log_.warning(line);
-            valid_until_ = {};
-            schedule_campaign({});
-        }
+            interrupt("suspended");
     }
     last_tick_at_ = now;
+    if (valid_until_ != time_point{} && platform_.era() > acquired_.era)
+        interrupt("the store's era changed");
     if (left_ || call_pending_ || key_.empty() || clock_() < next_action_)
         return;
     if (is_leader())
@@ -227,13 +238,21 @@
     }
     auto const holder = reply->values.find(key_ + std::string{holder_suffix});
     bool const is_held = holder != reply->values.end();
+    if (reply->era < platform_.era())
+    {
+        call_pending_ = false;
+        schedule_campaign(replace_interval);
+        return;
+    }
+    campaign_era_ = reply->era;
     replaced_revision_ = is_held ? holder->second.modify_revision : 0;
-    replaces_own_ = replaced_revision_ == static_cast<std::int64_t>(fence_);
-    if (is_held && !may_replace(replaced_revision_))
+    replaces_own_ = is_held && is_own(holder->second, reply->era);
+    std::uint64_t const fence = fence_of({reply->era, replaced_revision_});
+    if (is_held && !may_replace(holder->second, reply->era))
     {
         call_pending_ = false;
-        if (replaced_revision_ > holder_revision_)
-            note_holder(replaced_revision_);
+        if (fence > holder_fence_)
+            note_holder(fence);
         duration const unseen = clock_() - holder_seen_at_;
         schedule_campaign(
             fences_checked_ ? std::max(replace_interval, silence_limit - unseen)
@@ -289,16 +308,19 @@
     // A process that left during its campaign lets the lease expire.
     if (!reply || !reply->succeeded || left_)
         return;
-    fence_ = static_cast<std::uint64_t>(reply->revision);
+    // The lease may have been lost with the earlier era, or given out again.
+    if (reply->era != campaign_era_)
+        return;
+    acquired_ = {reply->era, reply->revision};
     record_written_ = false;
     if (replaced_revision_ != 0 && !replaces_own_)
         replaced_at_ = clock_();
-    note_holder(reply->revision);
+    note_holder(fence());
     valid_until_ = requested_at + lease_time - validity_margin;
     next_action_ = clock_() + renewal_interval;
     event line{"leadership_acquired"};
     line.with("key", key_)
-        .with("fence", fence_)
+        .with("fence", fence())
         .with("replaced", replaced_revision_)
         .with("previous", previous_record_);
     log_.info(line);
@@ -311,7 +333,7 @@
     call_pending_ = true;
     transaction put;
     put.conditions.push_back(
-        {key_ + std::string{holder_suffix}, static_cast<std::int64_t>(fence_)});
+        {key_ + std::string{holder_suffix}, acquired_.revision});
     put.writes.push_back(
         {key_ + std::string{record_suffix}, std::move(record), 0});
     platform_.commit(
@@ -355,7 +377,7 @@
                 return;
             event line{"leadership_lost"};
             line.with("key", key_)
-                .with("fence", fence_)
+                .with("fence", fence())
                 .with("reason", remaining.error().message);
             log_.warning(line);
             valid_until_ = {};
--- a/test/peers/leadership_test.cpp
+++ b/test/peers/leadership_test.cpp
@@ -2,7 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <deque>
+#include <tuple>
 
 using namespace hornbeamweir;
 using std::chrono::milliseconds;
@@ -22,9 +24,11 @@
 class lasting_store final : public platform
 {
 public:
+    [[nodiscard]] std::uint64_t era() const noexcept override { return era_; }
+
     void read_prefix(std::string prefix, handler<range_reply> done) override
     {
-        range_reply reply;
+        range_reply reply{{}, revision_, era_};
         for (auto const& [key, value] : values_)
         {
             if (key.starts_with(prefix))
@@ -53,7 +57,7 @@
             if (holds)
                 values_[it.key] = {*it.value, revision_, revision_};
         }
-        transaction_reply const reply{holds, revision_, {}};
+        transaction_reply const reply{holds, revision_, {}, era_};
         answer([reply, done] { done(reply); });
     }
     void grant_lease(duration, handler<std::int64_t> done) override
@@ -72,6 +76,15 @@
     {
         return nullptr;
     }
+    /// Other processes write.
+    void advance_revision(std::int64_t n) { revision_ += n; }
+    void clear_copy() { copy_.first.clear(); }
+    void save_copy() { copy_ = {values_, revision_}; }
+    void return_to_copy()
+    {
+        std::tie(values_, revision_) = copy_;
+        ++era_;
+    }
     void deliver()
     {
         std::deque<std::function<void()>> const due = std::move(answers_);
@@ -88,6 +101,8 @@
 
     std::map<std::string, stored_value> values_;
     std::int64_t revision_ = 1;
+    std::uint64_t era_ = 1;
+    std::pair<std::map<std::string, stored_value>, std::int64_t> copy_;
     std::deque<std::function<void()>> answers_;
 };
 
@@ -192,3 +207,42 @@
     it.first.on_leader_alive(it.first.fence() + 1);
     CHECK_FALSE(it.first.is_leader());
 }
+
+// Guards against fencing tokens that go back when the store is replaced by an
+// older copy: ranks rejected the orders of the next coordinator, and a held
+// pass stayed held, until the store's revisions had caught up.
+TEST_CASE("fencing tokens rise after the store returned from a copy")
+{
+    struct row
+    {
+        char const* name;
+        bool copy_has_key;
+        bool first_runs;
+    };
+    constexpr std::array<row, 3> rows{
+        {{"the copy has the key of the same leader", true, true},
+         {"the copy has no key", false, true},
+         {"the copy has no key, and the leader has ended", false, false}}};
+    for (row const& row : rows)
+    {
+        CAPTURE(row.name);
+        candidates it{true};
+        REQUIRE(it.first.is_leader());
+        it.store.save_copy();
+        if (!row.copy_has_key)
+            it.store.clear_copy();
+        it.store.advance_revision(1000);
+        it.first.step_down();
+        it.run(milliseconds{1000}, true);
+        REQUIRE(it.first.is_leader());
+        std::uint64_t const before = it.first.fence();
+        it.store.return_to_copy();
+        it.run(milliseconds{3000}, row.first_runs);
+        CHECK(it.first.is_leader() != it.second.is_leader());
+        std::uint64_t const after =
+            std::max(it.first.fence(), it.second.fence());
+        CHECK(after > before);
+        leadership const& leader = it.first.is_leader() ? it.first : it.second;
+        CHECK(leader.fence() == after);
+    }
+}
