A process registers again when the store's era has changed

The renewal of a lease of an earlier era may succeed on the lease of another process, as a store that was replaced by an older copy may give ids out again; the registration itself may be lost.

--- a/include/hornbeamweir/peers/peer_registry.hpp
+++ b/include/hornbeamweir/peers/peer_registry.hpp
@@ -75,6 +75,8 @@
     boost::asio::steady_timer lease_timer_;
     boost::asio::steady_timer read_timer_;
     std::int64_t lease_ = 0;
+    /// Era of the store in which the lease was granted.
+    std::uint64_t lease_era_ = 0;
     std::map<std::string, std::map<process_name, endpoint>> peers_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/peers/peer_registry.cpp
+++ b/src/peers/peer_registry.cpp
@@ -77,6 +77,7 @@
         return;
     }
     lease_ = *lease;
+    lease_era_ = platform_.era();
     transaction put;
     put.writes.push_back(
         {std::string{prefix} + role_ + '/' + self_.str(),
@@ -115,7 +116,9 @@
             bool const is_expired =
                 !remaining &&
                 remaining.error().code == result_code::platform_refused;
-            if (is_expired)
+            // The lease of an earlier era may have been lost, and its id be
+            // that of another process now.
+            if (is_expired || platform_.era() != lease_era_)
                 request_lease();
             else
                 schedule(
