Registrations are ordered by the store's era before their revision

After the store was replaced by an older copy, a replica of before could hide its successor for as long as it was retained, and one that returned under its id got no requests until the revisions had caught up.

A registration belongs to the era in which this process first read it; most are in the copy too and keep theirs. The hash that entries compare, and reports of crashes, go on naming the revision alone, as entries may have read it first in different eras. Late replies of an earlier era are dropped.

--- a/include/hornbeamweir/relay/replica_exclusions.hpp
+++ b/include/hornbeamweir/relay/replica_exclusions.hpp
@@ -29,10 +29,10 @@
 
     /// \brief Records that a replica is about to stop. It becomes eligible
     /// again only if it registers anew.
-    /// \param registration That to which the answered request was sent: the
-    /// replica may have restarted since.
-    /// \returns False if that was known.
-    bool on_leaving(backend_server_id const& id, std::int64_t registration);
+    /// \param registration Position of that to which the answered request was
+    /// sent: the replica may have restarted since. \returns False if that was
+    /// known.
+    bool on_leaving(backend_server_id const& id, store_position registration);
 
     /// \brief Records that a replica wants no requests for some time.
     /// \returns The end of that time, with a random addition, so that entries
@@ -50,7 +50,7 @@
 private:
     random_source random_;
     /// Registration with which a replica was leaving.
-    std::map<backend_server_id, std::int64_t> leaving_;
+    std::map<backend_server_id, store_position> leaving_;
     std::map<backend_server_id, time_point> backing_off_until_;
 };
 
--- a/include/hornbeamweir/relay/request_state.hpp
+++ b/include/hornbeamweir/relay/request_state.hpp
@@ -44,7 +44,7 @@
     /// Number of the current or last attempt, from 1; 0 before the first.
     std::uint32_t attempt = 0;
     backend_server_id target;
-    std::int64_t target_registration = 0;
+    store_position target_registration;
     answer_progress answer = answer_progress::none;
     time_point answer_began{};
     /// Whether the request tries a trait that is blocked.
--- a/include/hornbeamweir/replicas/replica.hpp
+++ b/include/hornbeamweir/replicas/replica.hpp
@@ -2,6 +2,7 @@
 
 #include <hornbeamweir/core/identifier.hpp>
 #include <hornbeamweir/core/time.hpp>
+#include <hornbeamweir/platform/store_position.hpp>
 #include <hornbeamweir/routes/route.hpp>
 
 #include <cstdint>
@@ -21,9 +22,10 @@
     data_centre_id data_centre;
     /// Requests that it executes concurrently.
     std::uint32_t slots = 1;
-    /// Store revision at which it registered; of two replicas with the same
-    /// address, the one with the higher revision is running.
+    /// Store revision at which it registered, and the era in which this process
+    /// first read that registration.
     std::int64_t registration_revision = 0;
+    std::uint64_t registration_era = 0;
     /// Whether it has announced that it is shutting down.
     bool draining = false;
     /// Store revision at which the registration was last renewed.
@@ -31,6 +33,13 @@
     /// Time for which it was still cold when it renewed; 0 if it was not.
     duration cold_remaining{};
 
+    /// \returns Position at which it registered; of two replicas with the same
+    /// address, the one with the higher position is running.
+    [[nodiscard]] store_position registered_at() const noexcept
+    {
+        return {registration_era, registration_revision};
+    }
+
     /// \remarks Ignores modify_revision and cold_remaining, which change with
     /// each renewal.
     [[nodiscard]] friend bool operator==(replica const& a, replica const& b)
--- a/include/hornbeamweir/replicas/replica_watcher.hpp
+++ b/include/hornbeamweir/replicas/replica_watcher.hpp
@@ -55,6 +55,9 @@
     void read();
     void on_read(result<range_reply> const& reply, time_point requested_at);
     [[nodiscard]] snapshot decode(range_reply const& reply);
+    /// \returns Era in which a registration was first read.
+    [[nodiscard]] std::uint64_t era_of(
+        backend_server_id const& id, std::int64_t registration_revision) const;
     void schedule_read(duration delay);
 
     platform& platform_;
@@ -66,6 +69,8 @@
     std::set<std::string> reported_keys_;
     clock_function clock_;
     snapshot last_;
+    /// Era of the store at the last read.
+    std::uint64_t era_ = 0;
     std::uint64_t hash_ = 0;
     time_point as_of_{};
     bool continuous_ = true;
--- a/src/relay/relay_dispatch.cpp
+++ b/src/relay/relay_dispatch.cpp
@@ -312,7 +312,7 @@
         return false;
     replica const& target = *candidates[*chosen].target;
     request.target = target.id;
-    request.target_registration = target.registration_revision;
+    request.target_registration = target.registered_at();
     request.answer = answer_progress::none;
     request.excluded.insert(target.id);
     ++request.attempt;
--- a/src/relay/relay_exclusions.cpp
+++ b/src/relay/relay_exclusions.cpp
@@ -30,7 +30,7 @@
         line.with("id", request.message.id)
             .with("replica", request.target)
             .with("reason", "leaving")
-            .with("registration", request.target_registration);
+            .with("registration", request.target_registration.revision);
         log_.info(line);
         metrics_.count(
             "hornbeamweir_replicas_excluded_total", {{"reason", "leaving"}});
--- a/src/relay/relay_quarantine.cpp
+++ b/src/relay/relay_quarantine.cpp
@@ -5,7 +5,7 @@
 
 replica_run relay_core::run_of(request_state const& request)
 {
-    return {request.target, request.target_registration};
+    return {request.target, request.target_registration.revision};
 }
 
 void relay_core::log_failed_attempt(
--- a/src/relay/replica_exclusions.cpp
+++ b/src/relay/replica_exclusions.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 bool replica_exclusions::on_leaving(
-    backend_server_id const& id, std::int64_t registration)
+    backend_server_id const& id, store_position registration)
 {
     auto const [known, added] = leaving_.emplace(id, registration);
     bool const is_newer = known->second < registration;
@@ -54,7 +54,7 @@
 bool replica_exclusions::is_leaving(replica const& it) const
 {
     auto const found = leaving_.find(it.id);
-    return found != leaving_.end() && it.registration_revision <= found->second;
+    return found != leaving_.end() && it.registered_at() <= found->second;
 }
 
 std::optional<time_point> replica_exclusions::backing_off_until(
--- a/src/replicas/replica_directory.cpp
+++ b/src/replicas/replica_directory.cpp
@@ -65,14 +65,13 @@
     for (auto const& [id, it] : replicas_)
     {
         replica const*& newest = newest_at_[it.address];
-        if (!newest || it.registration_revision > newest->registration_revision)
+        if (!newest || it.registered_at() > newest->registered_at())
             newest = &it;
     }
     for (auto const& [id, it] : replicas_)
     {
         bool const is_superseded =
-            newest_at_[it.address]->registration_revision >
-            it.registration_revision;
+            newest_at_[it.address]->registered_at() > it.registered_at();
         if (it.draining || misdirected_.contains(id) || is_superseded)
             continue;
         if (evacuated_.contains(it.data_centre))
--- a/src/replicas/replica_watcher.cpp
+++ b/src/replicas/replica_watcher.cpp
@@ -116,6 +116,13 @@
         line.with("dependency", "replica_registry");
         log_.info(line);
     }
+    // A late answer of an earlier era.
+    if (reply->era < era_)
+    {
+        schedule_read(retry_delay);
+        return;
+    }
+    era_ = reply->era;
     last_ = decode(*reply);
     hash_ = hash_of(last_);
     as_of_ = requested_at;
@@ -123,6 +130,18 @@
     schedule_read(read_interval);
 }
 
+// An older copy of the store still contains most registrations; only those that
+// were made since are of the new era.
+std::uint64_t replica_watcher::era_of(
+    backend_server_id const& id, std::int64_t registration_revision) const
+{
+    auto const known = last_.find(id);
+    bool const same =
+        known != last_.end() &&
+        known->second.registration_revision == registration_revision;
+    return same ? known->second.registration_era : era_;
+}
+
 // Registrations that cannot be decoded, such as those of other writers, are
 // skipped; the others remain valid.
 replica_watcher::snapshot replica_watcher::decode(range_reply const& reply)
@@ -134,6 +153,8 @@
         if (decoded)
         {
             decoded->registration_revision = stored.create_revision;
+            decoded->registration_era =
+                era_of(decoded->id, stored.create_revision);
             decoded->modify_revision = stored.modify_revision;
             out.emplace(decoded->id, std::move(*decoded));
             continue;
--- a/test/relay/replica_exclusions_test.cpp
+++ b/test/relay/replica_exclusions_test.cpp
@@ -213,7 +213,7 @@
     {
         std::int64_t const registration = static_cast<std::int64_t>(n);
         static_cast<void>(exclusions.on_leaving(
-            backend_server_id{std::to_string(n)}, registration));
+            backend_server_id{std::to_string(n)}, {0, registration}));
     }
     replica it;
     for (std::size_t n = 1; n <= count; ++n)
@@ -225,3 +225,19 @@
     CHECK(remembered == replica_exclusions::max_leaving);
     CHECK(exclusions.is_leaving(it));
 }
+
+// Guards against a replica that returned under its id and never gets requests
+// again, as its revision in an older copy of the store is lower than before.
+TEST_CASE("a replica that registers anew in a later era is no longer leaving")
+{
+    replica_exclusions exclusions{random_source{1}};
+    replica it;
+    it.id = backend_server_id{"r"};
+    it.registration_revision = 1005;
+    static_cast<void>(exclusions.on_leaving(it.id, it.registered_at()));
+    REQUIRE(exclusions.is_leaving(it));
+    it.registration_revision = 950;
+    CHECK(exclusions.is_leaving(it));
+    it.registration_era = 1;
+    CHECK_FALSE(exclusions.is_leaving(it));
+}
--- a/test/replicas/replica_directory_test.cpp
+++ b/test/replicas/replica_directory_test.cpp
@@ -119,3 +119,20 @@
     fixture.read({a}, 4500);
     CHECK(fixture.usable() == 1);
 }
+
+// Guards against a replica of before the store was replaced by an older copy
+// that hides its successor at the same address, whose revision is lower.
+TEST_CASE("a replica registered in a later era supersedes earlier ones")
+{
+    directory_fixture fixture;
+    replica const ended = make_replica("a", "10.0.0.1:1", 1005);
+    fixture.read({ended}, 900);
+    replica started = make_replica("b", "10.0.0.1:1", 950);
+    started.registration_era = 1;
+    fixture.read({ended, started}, 900);
+    CHECK(fixture.usable() == 1);
+    replica const* const found =
+        fixture.directory.find_by_address("10.0.0.1:1");
+    REQUIRE(found);
+    CHECK(found->id == started.id);
+}
