Requests that are open when an entry's grace period ends get an answer

Seen: after SIGTERM an entry aborted what was still open at the end of the grace period; callers got no answer at all, also those of requests that may be executed only once. Requests that waited for a replica when the entry stopped taking requests stayed queued until one was free.

Cause: the daemon ended without telling relay_core. When it stops taking requests, those that wait and were not executed are now rejected as not run, so that their callers use another entry; at the end, sent requests are answered as possibly executed, and started responses are aborted as before.

"SIGTERM: requests open at the end of the grace get an answer" (a real entry with a grace of 3 s) got status 0 for both requests before, and gets 502 now. "requests that wait are rejected when an entry closes" covers the decisions.

--- a/include/hornbeamweir/relay/relay_core.hpp
+++ b/include/hornbeamweir/relay/relay_core.hpp
@@ -70,9 +70,13 @@
     }
     void update(relay_settings const& settings);
 
-    /// \brief Rejects new and queued requests from now on, because they would
-    /// not be completed before the process exits. Attempts in progress go on.
-    void close() noexcept { closed_ = true; }
+    /// \brief Rejects new requests, and those that wait to be sent, from now
+    /// on, because they would not be completed before the process exits.
+    /// Attempts in progress go on.
+    [[nodiscard]] actions close(time_point now);
+    /// \brief Ends all requests, as the process exits now: those that were sent
+    /// are answered as possibly executed, started responses are aborted.
+    [[nodiscard]] actions finish(time_point now);
 
     // Events of callers.
     [[nodiscard]] actions
--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -320,7 +320,7 @@
     {
         callers_closed_ = true;
         std::uint64_t const open = callers_.totals().open;
-        core_.close();
+        exchanges_.apply(core_.close(suspend_aware_now()));
         callers_.stop_accepting();
         callers_.close_idle();
         event line{"callers_closed"};
@@ -334,12 +334,25 @@
         duration const elapsed = suspend_aware_now() - drain_began_at_;
         duration const grace = seconds_of(settings_.grace_s) - grace_margin;
         if (elapsed >= grace)
+        {
+            if (core_.open_requests() > 0)
+                finish();
             return true;
+        }
         // Open connections may still be receiving a response or sending a
         // request.
         return callers_closed_ && callers_.totals().open == 0;
     }
 
+    // Callers of requests that are still open get their final answers.
+    void finish()
+    {
+        event line{"requests_ended_by_exit"};
+        line.with("open_requests", core_.open_requests());
+        log_.warning(line);
+        exchanges_.apply(core_.finish(suspend_aware_now()));
+    }
+
     void reload(std::string_view cause)
     {
         settings_result<relay_entry_settings> const next = read_settings_();
--- a/src/relay/relay_core.cpp
+++ b/src/relay/relay_core.cpp
@@ -82,6 +82,58 @@
     return {};
 }
 
+actions relay_core::close(time_point now)
+{
+    actions out;
+    closed_ = true;
+    for (request_iterator it = requests_.begin(); it != requests_.end();)
+    {
+        request_iterator const current = it++;
+        reject_if_waiting(current, now, out);
+    }
+    return out;
+}
+
+// The caller of a request that was sent learns that it must not count on either
+// outcome; a connection that just ends tells less.
+actions relay_core::finish(time_point now)
+{
+    actions out = close(now);
+    for (request_iterator it = requests_.begin(); it != requests_.end();)
+    {
+        request_iterator const current = it++;
+        request_state& request = current->second;
+        if (request.phase != request_phase::awaiting_retry)
+        {
+            out.push_back(close_attempt{current->first});
+            end_attempt(request, attempt_outcome::abandoned, now);
+        }
+        request.may_have_run = true;
+        request.last_failure = "the entry ended before the replica answered";
+        fail(current, now, out);
+    }
+    return out;
+}
+
+void relay_core::reject_if_waiting(
+    request_iterator it, time_point now, actions& out)
+{
+    request_state const& request = it->second;
+    bool const is_queued = request.phase == request_phase::queued;
+    bool const awaits_retry = request.phase == request_phase::awaiting_retry &&
+                              !request.may_have_run && !request.first_data_at;
+    if (!is_queued && !awaits_retry)
+        return;
+    if (is_queued)
+        service_state_for(request.service)
+            .queue.erase(request_id{std::to_string(it->first)});
+    reject(
+        it,
+        {result_code::draining, "this entry is about to end", true},
+        now,
+        out);
+}
+
 relay_core::service_state&
 relay_core::service_state_for(service_name const& name)
 {
--- a/test/relay/relay_core_test.cpp
+++ b/test/relay/relay_core_test.cpp
@@ -332,7 +332,7 @@
     std::optional<open_attempt> const started =
         find_action<open_attempt>(fixture.request(1, "/once/x", 3000));
     REQUIRE(started);
-    fixture.core.close();
+    static_cast<void>(fixture.core.close(fixture.now));
     std::optional<send_error> const rejection =
         find_action<send_error>(fixture.request(2, "/once/x", 3000));
     REQUIRE(rejection);
@@ -347,6 +347,34 @@
         fixture.core.on_end(1, started->attempt, fixture.now)));
 }
 
+// Guards against requests that wait while the process is about to exit, and are
+// then cut or sent too late to be answered.
+TEST_CASE("requests that wait are rejected when an entry closes", "[relay]")
+{
+    relay_fixture fixture;
+    std::optional<open_attempt> const sent =
+        find_action<open_attempt>(fixture.request(1, "/once/x", 3000));
+    REQUIRE(sent);
+    exchange_id last = 1;
+    while (find_action<open_attempt>(fixture.request(++last, "/once/x", 3000)))
+        REQUIRE(last < 1000);
+    REQUIRE(fixture.core.request_of(last));
+    actions const closed = fixture.core.close(fixture.now);
+    std::optional<send_error> const rejection = find_action<send_error>(closed);
+    REQUIRE(rejection);
+    CHECK(rejection->exchange == last);
+    CHECK(rejection->state == execution_state::not_run);
+    CHECK(fixture.core.request_of(1));
+
+    actions const finished = fixture.core.finish(fixture.now);
+    std::optional<send_error> const ended = find_action<send_error>(finished);
+    REQUIRE(ended);
+    CHECK(ended->exchange == 1);
+    CHECK(ended->state == execution_state::may_have_run);
+    CHECK(http_status_of(ended->code) == 502);
+    CHECK(fixture.core.open_requests() == 0);
+}
+
 TEST_CASE("requests wait for a group that re-forms", "[relay]")
 {
     relay_fixture fixture;
