Keep fencing tokens small enough for the versions made of them

Versions of expert maps are a thousand times the fencing token and must be exact as JSON numbers. With 40 bits for the revision they would have passed 2^53 in the ninth era. An era now adds 2^24, which is more than an older copy can lack.

--- a/include/hornbeamweir/platform/store_position.hpp
+++ b/include/hornbeamweir/platform/store_position.hpp
@@ -12,7 +12,7 @@
 /// only within an era.
 struct store_position
 {
-    /// Highest era that a fencing token can hold; see fence_of().
+    /// Highest era that is accepted; with it a fencing token has 37 bits.
     static constexpr std::uint64_t max_era = (std::uint64_t{1} << 13U) - 1;
 
     /// Rises each time the store is replaced by an older copy; 0 if the store
@@ -24,13 +24,17 @@
     operator<=>(store_position const&, store_position const&) = default;
 };
 
-/// \returns The fencing token of a write, which rises with its position and is
-/// exact as a JSON number; the revision itself if the store states no era.
+/// \returns The fencing token of a write, which rises with its position; the
+/// revision itself if the store states no era.
+/// \remarks Versions of expert maps are made of it and must be exact as JSON
+/// numbers, so eras are no further apart than needed.
 [[nodiscard]] constexpr std::uint64_t
 fence_of(store_position const& it) noexcept
 {
-    constexpr unsigned revision_bits = 40;
-    return (it.era << revision_bits) + static_cast<std::uint64_t>(it.revision);
+    // More than an older copy can lack: over an hour of 4,000 writes a second.
+    constexpr unsigned lost_revision_bits = 24;
+    return (it.era << lost_revision_bits) +
+           static_cast<std::uint64_t>(it.revision);
 }
 
 } // namespace hornbeamweir
