Agents that start later hear the coordinator

Cause: heartbeats go to the agents that the coordinator knows from the registry, which it reads when it starts and then every 8 s. One that registered first knew none of the others, and they send datagrams only to a coordinator that they have heard. They then saw a silent leader, but not one whose heartbeats had stopped, and may only replace the latter. The new log line leadership_replacement_refused showed it: heard=0, silent_ms=600 to 3088, in both other agents.

Change: an agent whose campaign finds the key of a coordinator that it does not hear sends it a report, by which the coordinator learns its address; if the coordinator isn't registered yet, the agent reads the registry again. At most one datagram in 200 ms, and none once heartbeats arrive.

--- a/include/hornbeamweir/peers/leadership.hpp
+++ b/include/hornbeamweir/peers/leadership.hpp
@@ -91,6 +91,13 @@
     /// suspended for so long that another one may have taken over.
     [[nodiscard]] bool is_leader() const;
 
+    /// \brief Returns the name of a leader whose heartbeats do not reach this
+    /// process, as read in a campaign; empty if there is none.
+    [[nodiscard]] std::string const& unheard_leader() const noexcept
+    {
+        return unheard_leader_;
+    }
+
     /// \brief Returns the fencing token: the store's position at which this
     /// process became leader, see fence_of(). It rises with each leader, also
     /// after the store was replaced by an older copy.
@@ -110,6 +117,7 @@
         result<transaction_reply> const& reply, time_point requested_at);
     void renew();
     void schedule_campaign(duration min_delay);
+    void log_refused_replacement(std::uint64_t fence, duration unseen);
     /// \brief Ends the leadership, and campaigns again at once.
     void interrupt(std::string_view reason);
     /// \brief Notes who leads; a leader counts as silent from then on.
@@ -136,6 +144,7 @@
     std::uint64_t holder_fence_ = 0;
     /// Fencing token of the leader whose heartbeats were last heard.
     std::uint64_t heard_fence_ = 0;
+    std::string unheard_leader_;
     /// Time of the leader's last sign of life.
     time_point holder_seen_at_{};
     /// Revision of the leader's key that a campaign replaces; 0 if absent.
--- a/include/hornbeamweir/peers/peer_registry.hpp
+++ b/include/hornbeamweir/peers/peer_registry.hpp
@@ -41,6 +41,9 @@
     /// \brief Registers this process and starts to read the others.
     void start() { request_lease(); }
 
+    /// \brief Reads the others now, unless a read is in progress.
+    void refresh();
+
     /// \brief Records the address of a process that has sent a datagram.
     void on_peer_alive(
         process_name const& who, std::string_view role, endpoint const& from);
@@ -77,6 +80,7 @@
     std::int64_t lease_ = 0;
     /// Era of the store in which the lease was granted.
     std::uint64_t lease_era_ = 0;
+    bool reading_ = false;
     std::map<std::string, std::map<process_name, endpoint>> peers_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/daemon/group_coordination.hpp
+++ b/src/daemon/group_coordination.hpp
@@ -78,6 +78,11 @@
     {
         return coordinator_.ordered_map(version);
     }
+    /// \returns See leadership::unheard_leader().
+    [[nodiscard]] std::string const& unheard_coordinator() const noexcept
+    {
+        return leadership_.unheard_leader();
+    }
     [[nodiscard]] std::uint64_t fence() const noexcept
     {
         return leadership_.fence();
--- a/src/daemon/rank_agent_daemon.cpp
+++ b/src/daemon/rank_agent_daemon.cpp
@@ -96,7 +96,10 @@
                 coordination_.is_coordinator() ? &log_ : nullptr);
         }
         if (!coordination_.is_coordinator())
+        {
+            contact_unheard_coordinator(now);
             return;
+        }
         if (now - heartbeat_sent_at_ >= heartbeat_interval)
             send_heartbeats(now);
         if (now - stale_ranks_read_at_ >= heartbeat_interval / 2)
@@ -155,13 +158,43 @@
         wire::rank_report report = monitor_.detailed_report(state);
         report.set_fenced(fenced);
         if (coordination_.is_coordinator())
-        {
             coordination_.on_report(report);
-            return;
-        }
+        else
+            send_report(std::move(report), coordinator_.address());
+    }
+
+    void send_report(wire::rank_report report, udp_address const& to)
+    {
         wire::datagram message;
         *message.mutable_report() = std::move(report);
-        link_.send(coordinator_.address(), message);
+        link_.send(to, message);
+    }
+
+    // A coordinator that registered before this agent doesn't know its address
+    // until it reads the registry again, and sends it no heartbeats. It learns
+    // the address from any datagram.
+    void contact_unheard_coordinator(time_point now)
+    {
+        std::string const& name = coordination_.unheard_coordinator();
+        if (name.empty() ||
+            now - coordinator_contacted_at_ < heartbeat_interval)
+            return;
+        coordinator_contacted_at_ = now;
+        std::map<process_name, udp_address> const& agents =
+            registry_.peers(std::string{agent_role});
+        auto const found = agents.find(process_name{name});
+        event line{"coordinator_contacted"};
+        line.with("coordinator", name)
+            .with("registered", found != agents.end() ? "yes" : "no");
+        log_.info(line);
+        if (found == agents.end())
+        {
+            registry_.refresh();
+            return;
+        }
+        monitor_.read_now(
+            [this, to = found->second](rank_state const& state)
+            { send_report(monitor_.detailed_report(state), to); });
     }
 
     void send_heartbeats(time_point now, bool left = false)
@@ -373,6 +406,7 @@
     order_sender orders_;
     coordinator_contact coordinator_;
     entry_report_schedule entry_reports_;
+    time_point coordinator_contacted_at_{};
     time_point heartbeat_sent_at_{};
     time_point stale_ranks_read_at_{};
     time_point traffic_written_at_{};
--- a/src/peers/leadership.cpp
+++ b/src/peers/leadership.cpp
@@ -85,6 +85,7 @@
         step_down();
     note_holder(fence);
     heard_fence_ = fence;
+    unheard_leader_.clear();
     if (!is_leader())
         schedule_campaign(fences_checked_ ? silence_limit : leader_timeout);
 }
@@ -248,12 +249,16 @@
     replaced_revision_ = is_held ? holder->second.modify_revision : 0;
     replaces_own_ = is_held && is_own(holder->second, reply->era);
     std::uint64_t const fence = fence_of({reply->era, replaced_revision_});
+    bool const is_unheard =
+        is_held && fence != heard_fence_ && holder->second.value != holder_;
+    unheard_leader_ = is_unheard ? holder->second.value : std::string{};
     if (is_held && !may_replace(holder->second, reply->era))
     {
         call_pending_ = false;
         if (fence > holder_fence_)
             note_holder(fence);
         duration const unseen = clock_() - holder_seen_at_;
+        log_refused_replacement(fence, unseen);
         schedule_campaign(
             fences_checked_ ? std::max(replace_interval, silence_limit - unseen)
                             : campaign_interval);
@@ -274,6 +279,24 @@
         });
 }
 
+// Tells why a leader that is silent for this process stays.
+void leadership::log_refused_replacement(std::uint64_t fence, duration unseen)
+{
+    constexpr int us_per_ms = 1000;
+    if (!fences_checked_ || unseen < silence_limit)
+        return;
+    event line{"leadership_replacement_refused"};
+    line.with("key", key_)
+        .with("fence", fence)
+        .with("newest", holder_fence_)
+        .with("heard", heard_fence_)
+        .with("silent_ms", unseen.count() / us_per_ms)
+        .with(
+            "replaced_before_ms",
+            (clock_() - replaced_at_).count() / us_per_ms);
+    log_.info(line);
+}
+
 void leadership::on_granted(
     result<std::int64_t> const& lease, time_point requested_at)
 {
--- a/src/peers/peer_registry.cpp
+++ b/src/peers/peer_registry.cpp
@@ -128,8 +128,15 @@
         });
 }
 
+void peer_registry::refresh()
+{
+    if (!reading_)
+        read();
+}
+
 void peer_registry::read()
 {
+    reading_ = true;
     platform_.read_prefix_recent(
         std::string{prefix},
         [this, weak = std::weak_ptr{alive_}](result<range_reply> const& reply)
@@ -141,6 +148,7 @@
 
 void peer_registry::on_read(result<range_reply> const& reply)
 {
+    reading_ = false;
     schedule(read_timer_, read_interval, &peer_registry::read);
     if (!reply)
         return;
