A response that was delivered in full is logged as complete

Cause: callers that know the length close the connection after the last byte, which may be before the entry learns of the end of the attempt. The entry took each disconnection for a caller that gave up. It now counts the bytes that were written; if they are as many as the head of the response states, the request ends as complete, and its attempt counts as succeeded. A response without a length ends with its last chunk, which is written when the end is known.

--- a/include/hornbeamweir/entry/entry_core.hpp
+++ b/include/hornbeamweir/entry/entry_core.hpp
@@ -105,6 +105,16 @@
         time_point attempt_sent{};
         bool head_sent = false;
         unsigned status = 0;
+        /// Length of the response that its head states.
+        std::optional<std::uint64_t> response_length{};
+        std::uint64_t written = 0;
+
+        /// \returns Whether the caller has got the whole response, although
+        /// its end is not known here yet.
+        [[nodiscard]] bool is_delivered() const noexcept
+        {
+            return response_length && written >= *response_length;
+        }
     };
 
     void respond_with_models(
--- a/include/hornbeamweir/entry/request_machine.hpp
+++ b/include/hornbeamweir/entry/request_machine.hpp
@@ -161,6 +161,9 @@
 
     [[nodiscard]] request_actions on_deadline();
     [[nodiscard]] request_actions on_caller_disconnected();
+    /// \brief Ends the request as complete: the caller has got as many bytes as
+    /// the head of the response states.
+    [[nodiscard]] request_actions on_delivered();
 
     [[nodiscard]] inbound_request const& request() const noexcept
     {
--- a/src/entry/entry_attempts.cpp
+++ b/src/entry/entry_attempts.cpp
@@ -171,6 +171,7 @@
     if (it == live_.end() || !it->second.machine.target())
         return;
     live_request& live = it->second;
+    live.written += bytes;
     live.uncredited += static_cast<std::uint32_t>(bytes);
     if (live.uncredited < credit_step)
         return;
--- a/src/entry/entry_requests.cpp
+++ b/src/entry/entry_requests.cpp
@@ -8,6 +8,8 @@
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <charconv>
+
 /// \file
 /// \brief Lifecycle of callers' requests.
 
@@ -27,6 +29,18 @@
     return http_status_of(code) == 503 || http_status_of(code) == 429;
 }
 
+std::optional<std::uint64_t> content_length(header_list const& headers)
+{
+    std::string const* const text = find_header(headers, "Content-Length");
+    if (!text)
+        return std::nullopt;
+    std::uint64_t out = 0;
+    char const* const end = text->data() + text->size();
+    auto const it = std::from_chars(text->data(), end, out);
+    return it.ec == std::errc{} && it.ptr == end ? std::optional{out}
+                                                 : std::nullopt;
+}
+
 } // namespace
 
 request_id entry_core::on_request(http_request_message message, time_point now)
@@ -158,6 +172,7 @@
     headers.push_back({std::string{caller_header::request_id}, id.str()});
     live.head_sent = true;
     live.status = action.status;
+    live.response_length = content_length(headers);
     actions_.emplace_back(respond_head{id, action.status, std::move(headers)});
 }
 
@@ -241,7 +256,14 @@
 {
     auto const it = live_.find(id);
     if (it != live_.end())
-        perform(id, it->second.machine.on_caller_disconnected(), now);
+    {
+        live_request& live = it->second;
+        perform(
+            id,
+            live.is_delivered() ? live.machine.on_delivered()
+                                : live.machine.on_caller_disconnected(),
+            now);
+    }
 }
 
 void entry_core::perform(ledger_actions const& actions, time_point now)
--- a/src/entry/request_machine.cpp
+++ b/src/entry/request_machine.cpp
@@ -362,6 +362,13 @@
         attempt_outcome::abandoned);
 }
 
+request_actions request_machine::on_delivered()
+{
+    if (phase_ != phase::receiving_body)
+        return on_caller_disconnected();
+    return complete();
+}
+
 request_actions request_machine::on_caller_disconnected()
 {
     if (phase_ == phase::finished)
--- a/test/entry/entry_core_test.cpp
+++ b/test/entry/entry_core_test.cpp
@@ -153,3 +153,57 @@
         std::string::npos);
     CHECK(entry.core.live_requests() == 1);
 }
+
+// Guards against an answer that the log calls abandoned although its caller got
+// all of it: callers may close the connection before the end is known here.
+TEST_CASE("a response that was delivered in full is logged as complete")
+{
+    struct row
+    {
+        char const* name;
+        char const* length;
+        std::size_t written;
+        char const* expected;
+    };
+    std::vector<row> const rows{
+        {"all bytes were written", "5", 5, "result=ok"},
+        {"some bytes were written", "5", 3, "outcome=abandoned"},
+        {"without a length", "", 5, "outcome=abandoned"},
+        {"with an odd length", "5x", 5, "outcome=abandoned"}};
+    for (row const& it : rows)
+    {
+        CAPTURE(it.name);
+        entry_fixture entry;
+        entry.activate(test::make_configuration(1));
+        entry.pong("service-0", 7, 1);
+        request_id const id =
+            entry.core.on_request(request("/services/s/x"), entry.now);
+        std::vector<wire::execute> const sent =
+            executions(entry.core.take_actions());
+        REQUIRE(sent.size() == 1);
+        wire::envelope head;
+        head.mutable_answer()->set_request_id(id.str());
+        head.mutable_answer()->set_attempt(sent.front().attempt());
+        wire::envelope body = head;
+        wire::answer_head& fields = *head.mutable_answer()->mutable_head();
+        fields.set_status(200);
+        if (*it.length != '\0')
+        {
+            wire::header_field& field = *fields.add_headers();
+            field.set_name("Content-Length");
+            field.set_value(it.length);
+        }
+        body.mutable_answer()->set_sequence(1);
+        body.mutable_answer()->set_data("hello");
+        for (wire::envelope const& message : {head, body})
+            entry.core.on_message(
+                {peer_side::dialled, "agent/service-0"}, message, entry.now);
+        entry.core.on_response_written(id, it.written);
+        entry.core.on_caller_disconnected(id, entry.now);
+        CHECK(entry.core.live_requests() == 0);
+        std::string lines;
+        for (std::string const& line : entry.core.explain(id))
+            lines += line + '\n';
+        CHECK_THAT(lines, Catch::Contains(it.expected));
+    }
+}
