--- a/include/hornbeamweir/relay/replica_exclusions.hpp
+++ b/include/hornbeamweir/relay/replica_exclusions.hpp
@@ -29,9 +29,9 @@
 
     /// \brief Records that a replica is about to stop. It becomes eligible
     /// again only if it registers anew.
-    /// \param registration Position of that to which the answered request was
-    /// sent: the replica may have restarted since. \returns False if that was
-    /// known.
+    /// \param registration Position of the registration to which the answered
+    /// request was sent: the replica may have restarted since.
+    /// \returns False if that was known.
     bool on_leaving(backend_server_id const& id, store_position registration);
 
     /// \brief Records that a replica wants no requests for some time.
