--- a/include/hornbeamweir/settings/process_settings.hpp
+++ b/include/hornbeamweir/settings/process_settings.hpp
@@ -3,6 +3,7 @@
 #include <hornbeamweir/core/identifier.hpp>
 #include <hornbeamweir/core/time.hpp>
 #include <hornbeamweir/settings/diagnostic.hpp>
+#include <hornbeamweir/settings/machine_limits.hpp>
 #include <hornbeamweir/telemetry/console_log.hpp>
 
 #include <tl/expected.hpp>
@@ -84,6 +85,7 @@
     message_settings messages;
     std::vector<peer_settings> peers;
     platform_settings platform;
+    machine_limits limits;
     log_settings log;
 
     [[nodiscard]] friend bool
@@ -99,6 +101,7 @@
     std::string admin_address;
     message_settings messages;
     platform_settings platform;
+    machine_limits limits;
     log_settings log;
     /// How long responses are kept, to answer retries of their requests.
     std::uint32_t retention_s = 3600;
--- a/include/hornbeamweir/settings/relay_settings.hpp
+++ b/include/hornbeamweir/settings/relay_settings.hpp
@@ -28,6 +28,7 @@
     double retry_ratio = 0.2;
     double retry_allowance = 10;
     double retry_window_s = 10;
+    machine_limits limits;
     log_settings log;
 
     [[nodiscard]] friend bool operator==(
@@ -50,6 +51,7 @@
     std::string peers_address;
     std::string metrics_address;
     std::string platform_address;
+    machine_limits limits;
     log_settings log;
 
     [[nodiscard]] friend bool operator==(
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -104,6 +104,8 @@
         presence::optional);
     read_section(
         in, "platform", out.platform, read_platform, presence::required);
+    read_section(
+        in, "limits", out.limits, read_machine_limits, presence::optional);
     read_section(in, "log", out.log, read_log_settings, presence::optional);
 }
 
@@ -118,6 +120,8 @@
         in, "messages", out.messages, read_messages, presence::required);
     read_section(
         in, "platform", out.platform, read_platform, presence::required);
+    read_section(
+        in, "limits", out.limits, read_machine_limits, presence::optional);
     read_section(in, "log", out.log, read_log_settings, presence::optional);
     in.number("retention_s", out.retention_s, {1, 604'800}, presence::optional);
     in.number(
@@ -136,6 +140,12 @@
 
 } // namespace
 
+void read_machine_limits(yaml_object& in, machine_limits& out)
+{
+    in.real("memory_mb", out.memory_mb, {32, 1e6}, presence::optional);
+    in.real("descriptors", out.descriptors, {128, 1e7}, presence::optional);
+}
+
 void read_log_settings(yaml_object& in, log_settings& out)
 {
     in.choice("level", out.level, presence::optional);
--- a/src/settings/relay_settings.cpp
+++ b/src/settings/relay_settings.cpp
@@ -31,6 +31,8 @@
         presence::required);
     in.real("grace_s", out.grace_s, {1, 600}, presence::required);
     read_section(in, "repeats", out, read_retries, presence::required);
+    read_section(
+        in, "limits", out.limits, read_machine_limits, presence::optional);
     read_section(in, "log", out.log, read_log_settings, presence::optional);
 }
 
@@ -49,6 +51,8 @@
     in.address("peers_address", out.peers_address, presence::required);
     in.address("metrics_address", out.metrics_address, presence::required);
     in.address("platform_address", out.platform_address, presence::required);
+    read_section(
+        in, "limits", out.limits, read_machine_limits, presence::optional);
     read_section(in, "log", out.log, read_log_settings, presence::optional);
 }
 
--- a/src/settings/settings_document.hpp
+++ b/src/settings/settings_document.hpp
@@ -42,6 +42,9 @@
         key, [&](yaml_object& nested) { read(nested, out); }, need);
 }
 
+/// \brief Reads the limits section of a settings document.
+void read_machine_limits(yaml_object& in, machine_limits& out);
+
 /// \brief Reads the log section of a settings document.
 void read_log_settings(yaml_object& in, log_settings& out);
 
--- a/test/settings/process_settings_test.cpp
+++ b/test/settings/process_settings_test.cpp
@@ -156,3 +156,18 @@
     REQUIRE(with);
     CHECK(with->fences_checked);
 }
+
+// Without the section, processes assume a small machine.
+TEST_CASE("the limits of the machine may have fractions and be left out")
+{
+    settings_result<entry_settings> const without =
+        read_entry_settings(valid_entry, "e.yaml");
+    REQUIRE(without);
+    CHECK(without->limits == machine_limits{});
+    settings_result<entry_settings> const with = read_entry_settings(
+        valid_entry + "limits: {memory_mb: 112.5, descriptors: 2870}\n",
+        "e.yaml");
+    REQUIRE(with);
+    CHECK(with->limits.memory_mb == Approx(112.5));
+    CHECK(with->limits.descriptors == Approx(2870));
+}
--- a/test/support/child_process.cpp
+++ b/test/support/child_process.cpp
@@ -8,10 +8,12 @@
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <spawn.h>
 #include <sstream>
 #include <stdexcept>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -22,7 +24,8 @@
 child_process::child_process(
     std::string const& program,
     std::vector<std::string> const& arguments,
-    std::string const& output)
+    std::string const& output,
+    std::size_t max_descriptors)
 {
     std::string path = std::string{HORNBEAMWEIR_BIN_DIR} + "/" + program;
     if (program.starts_with("standin-"))
@@ -41,8 +44,17 @@
     // A listening socket that is inherited would accept connections after the
     // stand-in has closed it.
     posix_spawn_file_actions_addclosefrom_np(&actions, 3);
+    // The child inherits the limit, which the test itself has only for the
+    // moment.
+    rlimit own{};
+    getrlimit(RLIMIT_NOFILE, &own);
+    rlimit lowered = own;
+    if (max_descriptors > 0)
+        lowered.rlim_cur = max_descriptors;
+    setrlimit(RLIMIT_NOFILE, &lowered);
     int const failed = posix_spawn(
         &pid_, path.c_str(), &actions, nullptr, argv.data(), environ);
+    setrlimit(RLIMIT_NOFILE, &own);
     posix_spawn_file_actions_destroy(&actions);
     if (failed != 0)
         throw std::runtime_error{"cannot start " + path};
@@ -103,6 +115,40 @@
     return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
+std::size_t child_process::peak_resident_bytes() const
+{
+    std::ifstream in{"/proc/" + std::to_string(pid_) + "/status"};
+    constexpr std::string_view key = "VmHWM:";
+    constexpr std::size_t bytes_per_unit = 1024;
+    std::string line;
+    while (std::getline(in, line))
+    {
+        if (line.starts_with(key))
+            return std::stoul(line.substr(key.size())) * bytes_per_unit;
+    }
+    return 0;
+}
+
+std::size_t child_process::open_descriptors() const
+{
+    std::filesystem::directory_iterator const entries{
+        "/proc/" + std::to_string(pid_) + "/fd"};
+    return static_cast<std::size_t>(
+        std::distance(begin(entries), end(entries)));
+}
+
+bool child_process::is_alive() const
+{
+    siginfo_t state{};
+    return pid_ > 0 &&
+           waitid(
+               P_PID,
+               static_cast<id_t>(pid_),
+               &state,
+               WEXITED | WNOHANG | WNOWAIT) == 0 &&
+           state.si_pid == 0;
+}
+
 void child_process::kill()
 {
     if (pid_ <= 0)
@@ -131,6 +177,34 @@
     return finished;
 }
 
+std::size_t queued_bytes(int port)
+{
+    // Fields of a line: number, local address, remote address, state, and the
+    // queues as SENT:RECEIVED, in hexadecimal.
+    constexpr int base = 16;
+    std::ifstream in{"/proc/net/tcp"};
+    std::string line;
+    std::size_t total = 0;
+    while (std::getline(in, line))
+    {
+        std::istringstream fields{line};
+        std::string number;
+        std::string local;
+        std::string remote;
+        std::string state;
+        std::string queues;
+        fields >> number >> local >> remote >> state >> queues;
+        std::size_t const colon = queues.find(':');
+        std::string const port_text = local.substr(local.find(':') + 1);
+        if (colon == std::string::npos || state == "0A" ||
+            std::stoi(port_text, nullptr, base) != port)
+            continue;
+        total += std::stoul(queues, nullptr, base) +
+                 std::stoul(queues.substr(colon + 1), nullptr, base);
+    }
+    return total;
+}
+
 int free_port()
 {
     // Below the ports of outgoing connections, which would take it before it is
--- a/test/support/child_process.hpp
+++ b/test/support/child_process.hpp
@@ -13,10 +13,13 @@
 public:
     /// \param program Name of an executable of this build.
     /// \param output File that receives the standard output and error.
+    /// \param max_descriptors RLIMIT_NOFILE of the process; 0 for that of the
+    /// test.
     child_process(
         std::string const& program,
         std::vector<std::string> const& arguments,
-        std::string const& output);
+        std::string const& output,
+        std::size_t max_descriptors = 0);
     child_process(child_process const&) = delete;
     child_process& operator=(child_process const&) = delete;
     ~child_process();
@@ -32,6 +35,12 @@
     [[nodiscard]] double cpu_seconds() const;
     /// \brief Returns the current resident set size.
     [[nodiscard]] std::size_t resident_bytes() const;
+    /// \brief Returns the largest resident set size so far.
+    [[nodiscard]] std::size_t peak_resident_bytes() const;
+    /// \brief Returns the number of open file descriptors.
+    [[nodiscard]] std::size_t open_descriptors() const;
+    /// \brief Whether the process has not ended.
+    [[nodiscard]] bool is_alive() const;
 
     /// \brief Sends SIGKILL and waits.
     void kill();
@@ -51,6 +60,10 @@
 [[nodiscard]] finished_process run_program(
     std::string const& program, std::vector<std::string> const& arguments);
 
+/// \brief Returns the bytes that the kernel holds in the buffers of a loopback
+/// port's connections, received or to be sent.
+[[nodiscard]] std::size_t queued_bytes(int port);
+
 /// \brief Returns a TCP port that is not in use.
 [[nodiscard]] int free_port();
 
--- a/test/support/deployment.cpp
+++ b/test/support/deployment.cpp
@@ -85,10 +85,11 @@
 void deployment::start(
     std::string const& name,
     std::string const& program,
-    std::vector<std::string> const& arguments)
+    std::vector<std::string> const& arguments,
+    std::size_t max_descriptors)
 {
     processes_[name] = std::make_unique<child_process>(
-        program, arguments, folder_ + "/" + name + ".log");
+        program, arguments, folder_ + "/" + name + ".log", max_descriptors);
 }
 
 void deployment::start_platform()
@@ -133,7 +134,8 @@
     start(
         name,
         "hornbeamweir-entry",
-        {"--settings", write(name + ".yaml", entry_settings(n))});
+        {"--settings", write(name + ".yaml", entry_settings(n))},
+        sizes_.max_descriptors);
 }
 
 void deployment::start_agent(std::string const& id)
@@ -142,7 +144,8 @@
     start(
         name,
         "hornbeamweir-agent",
-        {"--settings", write(name + ".yaml", agent_settings(id))});
+        {"--settings", write(name + ".yaml", agent_settings(id))},
+        sizes_.max_descriptors);
 }
 
 std::string deployment::entry_settings(int n) const
@@ -162,13 +165,13 @@
     return "identity: {name: entry-" + std::to_string(n) +
            ", data_centre: hu-central-a, vm: vm-entry-" + std::to_string(n) +
            "}\ncallers:\n  address: " + local(self.port) +
-           "\n  max_body_bytes: 65536\n  read_timeout_ms: 1000\n"
-           "admin_address: " +
-           local(self.admin) + "\n" +
+           "\n  max_body_bytes: 65536\n  read_timeout_ms: " +
+           std::to_string(sizes_.read_timeout_ms) +
+           "\nadmin_address: " + local(self.admin) + "\n" +
            message_section(self.messages, self.keys, allowed) +
            (peers.empty() ? "" : "peers:\n" + peers) +
            "platform:\n  addresses: ['" + local(platform_port_) +
-           "']\n  timeout_ms: 500\n";
+           "']\n  timeout_ms: 500\n" + sizes_.more_settings;
 }
 
 std::string deployment::agent_settings(std::string const& name) const
@@ -183,7 +186,8 @@
            "\nbackend_address: " + local(self.backend) +
            "\nadmin_address: " + local(self.agent.admin) + "\n" +
            message_section(self.agent.messages, self.agent.keys, allowed) +
-           "platform:\n  addresses: ['" + local(platform_port_) + "']\n";
+           "platform:\n  addresses: ['" + local(platform_port_) + "']\n" +
+           sizes_.more_settings;
 }
 
 std::string
--- a/test/support/deployment.hpp
+++ b/test/support/deployment.hpp
@@ -24,6 +24,12 @@
         int ranks = 2;
         int services = 2;
         int step_ms = 5;
+        /// Time that callers have for a header or a body.
+        int read_timeout_ms = 1000;
+        /// Further lines of the settings of entries and agents.
+        std::string more_settings = {};
+        /// RLIMIT_NOFILE of entries and agents; 0 for that of the test.
+        std::size_t max_descriptors = 0;
     };
 
     explicit deployment(sizes const& of);
@@ -99,7 +105,8 @@
     void start(
         std::string const& name,
         std::string const& program,
-        std::vector<std::string> const& arguments);
+        std::vector<std::string> const& arguments,
+        std::size_t max_descriptors = 0);
     void start_backends();
     void write_client_settings() const;
     [[nodiscard]] std::string entry_settings(int n) const;
