Bytes of a request that are not parsed yet are bounded

Callers saw entries end when another client sent trailers, or a chunk extension, without end. The parser needs a whole trailer or chunk header before it goes on, and the buffer in which the server collected them had no limit. It may hold a header of the permitted size and 32 KiB now; what is longer is rejected with 431.

--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <sstream>
 
@@ -20,6 +21,9 @@
 using tcp = boost::asio::ip::tcp;
 
 constexpr unsigned http_1_1 = 11;
+/// Bytes that may wait to be parsed beside a header: a part of a body, a chunk
+/// header, or a trailer.
+constexpr std::size_t max_unparsed_bytes = std::size_t{32} * 1024;
 
 struct read_error
 {
@@ -98,6 +102,8 @@
     parser_.emplace();
     parser_->header_limit(shared_->limits.max_header_bytes);
     parser_->body_limit(shared_->limits.max_body_bytes);
+    buffer_.max_size(std::max(
+        buffer_.size(), shared_->limits.max_header_bytes + max_unparsed_bytes));
     // A new connection must send its request promptly; a reused one may be idle
     // between requests.
     stream_.expires_never();
