Trailer fields of requests no longer count as header fields

A caller could set fields such as an API key, a deadline or an id behind its body: the parser adds trailer fields to the message, and all fields were taken from it after the body. The header is taken when it is complete now.

--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -115,19 +115,40 @@
         buffer_,
         *parser_,
         [self = shared_from_this()](boost::system::error_code ec, std::size_t)
-        {
-            if (ec)
-            {
-                self->on_request(ec);
-                return;
-            }
-            self->start_read_timer(self->shared_->limits.read_timeout);
-            if (same_header_name(
-                    self->parser_->get()[http::field::expect], "100-continue"))
-                self->send_continue();
-            else
-                self->read_body();
-        });
+        { self->on_header(ec); });
+}
+
+void http_session::on_header(boost::system::error_code ec)
+{
+    if (ec)
+    {
+        on_request(ec);
+        return;
+    }
+    take_head();
+    start_read_timer(shared_->limits.read_timeout);
+    if (same_header_name(parser_->get()[http::field::expect], "100-continue"))
+        send_continue();
+    else
+        read_body();
+}
+
+// Taken before the body is read, as trailer fields are added to the same
+// message: they must not count as header fields (RFC 9110, 6.5.1).
+void http_session::take_head()
+{
+    http::request<http::string_body> const& message = parser_->get();
+    version_ = message.version();
+    keep_alive_ = message.keep_alive();
+    head_request_ = message.method() == http::verb::head;
+    request_ = {};
+    request_.method = std::string{message.method_string()};
+    request_.target = std::string{message.target()};
+    for (auto it = message.begin(); it != message.end(); ++it)
+    {
+        request_.headers.push_back(
+            {std::string{it->name_string()}, std::string{it->value()}});
+    }
 }
 
 void http_session::send_continue()
@@ -173,9 +194,6 @@
             reject(code);
         return;
     }
-    version_ = parser_->get().version();
-    keep_alive_ = parser_->get().keep_alive();
-    head_request_ = parser_->get().method() == http::verb::head;
     dispatch_request();
 }
 
@@ -190,16 +208,8 @@
 void http_session::dispatch_request()
 {
     phase_ = phase::responding;
-    http::request<http::string_body> message = parser_->release();
-    http_request_message request;
-    request.method = std::string{message.method_string()};
-    request.target = std::string{message.target()};
-    for (auto it = message.begin(); it != message.end(); ++it)
-    {
-        request.headers.push_back(
-            {std::string{it->name_string()}, std::string{it->value()}});
-    }
-    request.body = std::move(message.body());
+    http_request_message request = std::move(request_);
+    request.body = std::move(parser_->get().body());
     stream_.expires_never();
     if (!shared_->handler)
     {
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -65,6 +65,8 @@
 
     void read_request();
     void start_read_timer(duration limit);
+    void on_header(boost::system::error_code ec);
+    void take_head();
     void send_continue();
     void read_body();
     void on_request(boost::system::error_code ec);
@@ -88,6 +90,8 @@
     std::shared_ptr<http_session_shared> shared_;
     boost::asio::steady_timer read_timer_;
     boost::beast::flat_buffer buffer_;
+    /// The request being read; its body is that of the parser until it ends.
+    http_request_message request_;
     std::optional<
         boost::beast::http::request_parser<boost::beast::http::string_body>>
         parser_;
