Connections without a request make room for new ones

Callers got no answer while another client held connections open: at the limit of a server, or of the descriptors, new connections were closed, or stayed in the queue of the listener until others timed out. Without descriptors the accept loop also ran without a pause. Idle connections of one port could use all descriptors of the process.

At its limit, a server ends the connection that has been without a complete request for the longest: those that never sent anything first, then idle ones, then those whose request is arriving, which are told that it has not run. The limits follow from the descriptors of the process: callers of a relaying entry get half of the sockets, as each request needs another one; the ports of operators and of the platform have 32. If accepting fails, one connection is ended, and the next attempt comes after 20 ms.

--- a/include/hornbeamweir/http/http_server.hpp
+++ b/include/hornbeamweir/http/http_server.hpp
@@ -17,6 +17,8 @@
 {
     std::uint32_t max_header_bytes = 16 * 1024;
     std::uint32_t max_body_bytes = 4 * 1024 * 1024;
+    /// Beyond it, connections without a complete request make room for new
+    /// ones.
     std::uint32_t max_connections = 10'000;
     /// Time limit for reading a body after its header, and for each write.
     duration read_timeout = std::chrono::seconds{10};
@@ -44,6 +46,8 @@
         std::uint64_t rejected_connections = 0;
         /// Requests that could not be read and got an error response.
         std::uint64_t malformed = 0;
+        /// Connections that were ended to make room for others.
+        std::uint64_t evicted = 0;
         /// Connections that are open now.
         std::uint64_t open = 0;
     };
--- a/src/daemon/admin_endpoint.cpp
+++ b/src/daemon/admin_endpoint.cpp
@@ -1,5 +1,7 @@
 #include "admin_endpoint.hpp"
 
+#include "port_limits.hpp"
+
 namespace hornbeamweir
 {
 
@@ -10,14 +12,6 @@
 constexpr char const* text_type = "text/plain; version=0.0.4";
 constexpr std::string_view explain_prefix = "/explain/";
 
-http_limits admin_limits()
-{
-    http_limits limits;
-    constexpr std::uint32_t max_connections = 64;
-    limits.max_connections = max_connections;
-    return limits;
-}
-
 void write_error(http_exchange& exchange, result_code code)
 {
     send_response(
@@ -39,7 +33,7 @@
     , server_{
           context,
           address,
-          admin_limits(),
+          internal_port_limits(),
           [this](
               std::shared_ptr<http_exchange> exchange,
               http_request_message request)
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -22,12 +22,14 @@
 namespace
 {
 
-http_limits make_http_limits(caller_settings const& settings)
+http_limits
+make_http_limits(caller_settings const& settings, machine_limits const& machine)
 {
     http_limits limits;
     limits.max_header_bytes = settings.max_header_bytes;
     limits.max_body_bytes = settings.max_body_bytes;
-    limits.max_connections = settings.max_connections;
+    limits.max_connections =
+        std::min(settings.max_connections, socket_limit(machine));
     limits.read_timeout = std::chrono::milliseconds{settings.read_timeout_ms};
     limits.first_request_timeout = limits.read_timeout;
     return limits;
@@ -49,7 +51,7 @@
         , watcher_{loop_.context(), platform_, [this](configuration_head const& head) { core_.on_platform_head(head, process_clock::now()); flush(); }}
         , vms_{loop_.context(), platform_, [this](vm_list const& list) { core_.on_vm_list(list); flush(); }}
         , messages_{loop_.context(), settings_.messages, settings_.identity.name, incarnation_, [this](peer const& from, wire::envelope const& message) { core_.on_message(from, message, process_clock::now()); flush(); }}
-        , callers_{loop_.context(), settings_.callers.address, make_http_limits(settings_.callers), [this](std::shared_ptr<http_exchange> exchange, http_request_message request) { on_request(std::move(exchange), std::move(request)); }, reject_unreadable_request}
+        , callers_{loop_.context(), settings_.callers.address, make_http_limits(settings_.callers, settings_.limits), [this](std::shared_ptr<http_exchange> exchange, http_request_message request) { on_request(std::move(exchange), std::move(request)); }, reject_unreadable_request}
         , admin_{loop_.context(), settings_.admin_address, metrics_, make_admin_pages()}
     {
     }
--- /dev/null
+++ b/src/daemon/port_limits.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <hornbeamweir/http/http_server.hpp>
+#include <hornbeamweir/settings/machine_limits.hpp>
+
+namespace hornbeamweir
+{
+
+/// \brief Limits of ports for operators and the platform, whose requests have
+/// no bodies.
+[[nodiscard]] http_limits internal_port_limits();
+
+/// \brief Returns how many connections of callers fit if each may need another
+/// one, to a backend server.
+[[nodiscard]] std::uint32_t
+max_relayed_connections(machine_limits const& limits);
+
+} // namespace hornbeamweir
--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -13,6 +13,7 @@
 #include "admin_endpoint.hpp"
 #include "crash_exchange.hpp"
 #include "daemon_loop.hpp"
+#include "port_limits.hpp"
 #include "relay_exchanges.hpp"
 #include "state_exchange.hpp"
 #include "store_era_monitor.hpp"
@@ -39,16 +40,14 @@
 constexpr duration grace_margin = std::chrono::milliseconds{400};
 /// Time for the last responses to be sent.
 constexpr std::chrono::milliseconds linger{100};
-/// File descriptors are limited, and each request needs a second one for the
-/// connection to its replica.
-constexpr std::uint32_t max_caller_connections = 1800;
 
-http_limits make_http_limits(caller_limits const& configured)
+http_limits
+make_http_limits(caller_limits const& configured, machine_limits const& machine)
 {
     http_limits limits;
     limits.max_header_bytes = configured.max_header_bytes;
     limits.max_body_bytes = configured.max_body_bytes;
-    limits.max_connections = max_caller_connections;
+    limits.max_connections = max_relayed_connections(machine);
     limits.read_timeout = configured.header_timeout;
     limits.first_request_timeout = configured.idle_timeout;
     limits.idle_timeout = configured.idle_timeout;
@@ -107,8 +106,8 @@
         , random_{system_seed()}
         , core_{make_core_settings(settings_, started_at_), log_, metrics_, random_source{random_.next()}}
         , exchanges_{loop_.context(), core_, codec_, suspend_aware_now, [this] { report_loads(); }}
-        , callers_{loop_.context(), settings_.callers_address, make_http_limits({}), [this](std::shared_ptr<http_exchange> exchange, http_request_message request) { exchanges_.accept(std::move(exchange), std::move(request)); }, reject_unreadable_request}
-        , readiness_{loop_.context(), settings_.readiness_address, http_limits{}, [this](std::shared_ptr<http_exchange> exchange, http_request_message const& request) { handle_readiness_request(*exchange, request); }, reject_unreadable_request}
+        , callers_{loop_.context(), settings_.callers_address, make_http_limits({}, settings_.limits), [this](std::shared_ptr<http_exchange> exchange, http_request_message request) { exchanges_.accept(std::move(exchange), std::move(request)); }, reject_unreadable_request}
+        , readiness_{loop_.context(), settings_.readiness_address, internal_port_limits(), [this](std::shared_ptr<http_exchange> exchange, http_request_message const& request) { handle_readiness_request(*exchange, request); }, reject_unreadable_request}
         , admin_{loop_.context(), settings_.metrics_address, metrics_, admin_pages{[this] { return ready(); }, [this] { return status(); }, {}}}
         , platform_{connect(loop_.context(), settings_.platform_address)}
         , routes_{loop_.context(), *platform_, *platform_, codec_, log_, suspend_aware_now, [this](route_configuration next, time_point as_of) { apply_configuration(std::move(next), as_of); }, [this](time_point as_of) { core_.routes().confirm(as_of); }, [this](evacuations const& next) { exchanges_.apply(core_.on_evacuations(next, "store", suspend_aware_now())); }}
@@ -180,7 +179,8 @@
     void apply_configuration(route_configuration next, time_point as_of)
     {
         std::uint64_t const version = next.version;
-        http_limits const limits = make_http_limits(next.limits);
+        http_limits const limits =
+            make_http_limits(next.limits, settings_.limits);
         if (!core_.routes().update(std::move(next), as_of))
             return;
         callers_.set_limits(limits);
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -2,6 +2,7 @@
 #include <hornbeamweir/http/http_server.hpp>
 
 #include "http_session.hpp"
+#include "session_eviction.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -14,6 +15,10 @@
 namespace asio = boost::asio;
 using tcp = boost::asio::ip::tcp;
 
+/// Pause after a connection could not be accepted, as the process has no
+/// descriptor left: the next attempt would fail as well.
+constexpr duration accept_pause = std::chrono::milliseconds{20};
+
 tcp::endpoint endpoint_or_throw(std::string const& address)
 {
     std::optional<tcp::endpoint> const endpoint = tcp_endpoint(address);
@@ -38,6 +43,7 @@
         error_response_writer write_error)
         : context_{context}
         , acceptor_{context, endpoint_or_throw(address)}
+        , accept_timer_{context}
         , shared_{std::make_shared<http_session_shared>()}
     {
         shared_->limits = limits;
@@ -55,8 +61,12 @@
                 if (ec == asio::error::operation_aborted ||
                     !self->acceptor_.is_open())
                     return;
-                if (!ec)
-                    self->on_accepted(std::move(socket));
+                if (ec)
+                {
+                    self->on_accept_failed();
+                    return;
+                }
+                self->on_accepted(std::move(socket));
                 self->accept();
             });
     }
@@ -76,6 +86,7 @@
     {
         boost::system::error_code ignored;
         acceptor_.close(ignored);
+        accept_timer_.cancel();
         shared_->closing = true;
     }
 
@@ -94,14 +105,29 @@
     {
         counters totals = totals_;
         totals.malformed = shared_->malformed;
+        totals.evicted = shared_->evicted;
         totals.open = shared_->open;
         return totals;
     }
 
 private:
+    void on_accept_failed()
+    {
+        static_cast<void>(free_connection(*shared_));
+        accept_timer_.expires_after(accept_pause);
+        accept_timer_.async_wait(
+            [weak = weak_from_this()](boost::system::error_code ec)
+            {
+                std::shared_ptr<impl> const self = weak.lock();
+                if (!ec && self && self->acceptor_.is_open())
+                    self->accept();
+            });
+    }
+
     void on_accepted(tcp::socket socket)
     {
-        if (shared_->open >= shared_->limits.max_connections)
+        if (shared_->open >= shared_->limits.max_connections &&
+            !free_connection(*shared_))
         {
             ++totals_.rejected_connections;
             return;
@@ -114,6 +140,7 @@
 
     asio::io_context& context_;
     tcp::acceptor acceptor_;
+    asio::steady_timer accept_timer_;
     std::shared_ptr<http_session_shared> shared_;
     counters totals_;
 };
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -95,6 +95,7 @@
 {
     phase_ = phase::reading;
     shared_->waiting.insert(this);
+    reading_since_ = process_clock::now();
     finished_ = false;
     read_timed_out_ = false;
     written_ = nullptr;
@@ -120,6 +121,8 @@
 
 void http_session::on_header(boost::system::error_code ec)
 {
+    if (phase_ != phase::reading)
+        return;
     if (ec)
     {
         on_request(ec);
@@ -159,6 +162,8 @@
         boost::asio::buffer(line),
         [self = shared_from_this()](boost::system::error_code ec, std::size_t)
         {
+            if (self->phase_ != phase::reading)
+                return;
             if (ec)
                 self->close();
             else
@@ -178,6 +183,8 @@
 
 void http_session::on_request(boost::system::error_code ec)
 {
+    if (phase_ != phase::reading)
+        return;
     shared_->waiting.erase(this);
     read_timer_.cancel();
     bool const no_request_begun =
@@ -208,6 +215,7 @@
 void http_session::dispatch_request()
 {
     phase_ = phase::responding;
+    ++served_requests_;
     http_request_message request = std::move(request_);
     request.body = std::move(parser_->get().body());
     stream_.expires_never();
@@ -398,11 +406,38 @@
         close();
 }
 
+bool http_session::has_received() const noexcept
+{
+    return buffer_.size() > 0 || (parser_ && parser_->is_header_done());
+}
+
+bool http_session::has_unread_request() const
+{
+    boost::system::error_code ec;
+    return !has_received() && stream_.socket().available(ec) > 0;
+}
+
+// Reads in progress end with an error, which finds another phase.
+void http_session::evict()
+{
+    shared_->waiting.erase(this);
+    read_timer_.cancel();
+    if (!has_received())
+    {
+        close();
+        return;
+    }
+    boost::system::error_code ignored;
+    stream_.socket().cancel(ignored);
+    reject(result_code::connection_limit);
+}
+
 void http_session::close()
 {
     if (phase_ == phase::closed)
         return;
     phase_ = phase::closed;
+    shared_->waiting.erase(this);
     written_ = nullptr;
     disconnected_ = nullptr;
     stream_.close();
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -26,9 +26,11 @@
     error_response_writer write_error;
     /// Whether connections close after their next response.
     bool closing = false;
-    /// Sessions that wait for a request; close_idle() examines them.
+    /// Sessions whose request has not arrived completely.
     std::set<http_session*> waiting;
     std::uint64_t malformed = 0;
+    /// Connections that were ended to make room for others.
+    std::uint64_t evicted = 0;
     std::uint64_t open = 0;
 };
 
@@ -47,6 +49,25 @@
     /// \brief Closes the connection if no byte of a request has arrived.
     void close_if_idle();
 
+    /// \brief Ends the connection while its request is being read. A caller
+    /// that has sent a part of a request is told that it was not executed.
+    void evict();
+    /// \brief Whether any part of the next request has arrived.
+    [[nodiscard]] bool has_received() const noexcept;
+    /// \brief Whether the next request has arrived, but none of it was read.
+    [[nodiscard]] bool has_unread_request() const;
+    /// \brief Counts the connection as the one that was used last.
+    void postpone_eviction() noexcept { reading_since_ = process_clock::now(); }
+    [[nodiscard]] std::uint64_t served_requests() const noexcept
+    {
+        return served_requests_;
+    }
+    /// \brief Returns since when the next request is waited for.
+    [[nodiscard]] time_point reading_since() const noexcept
+    {
+        return reading_since_;
+    }
+
     void send_head(unsigned status, header_list const& headers) override;
     void send_data(std::string bytes) override;
     void finish() override;
@@ -99,6 +120,8 @@
     std::function<void(std::size_t)> written_;
     std::function<void()> disconnected_;
     phase phase_ = phase::reading;
+    std::uint64_t served_requests_ = 0;
+    time_point reading_since_{};
     unsigned version_ = 11;
     bool keep_alive_ = true;
     bool head_request_ = false;
