Ports of operators and the platform take no large requests

The readiness, metrics and admin ports read bodies of up to 4 MiB, which nothing uses: 60 connections made an entry hold 226 MB and an agent 261 MB. They take headers of 8 KiB and bodies of 1 KiB now.

--- a/src/daemon/port_limits.cpp
+++ b/src/daemon/port_limits.cpp
@@ -8,8 +8,12 @@
 http_limits internal_port_limits()
 {
     constexpr std::uint32_t max_connections = 32;
+    constexpr std::uint32_t max_header_bytes = 8 * 1024;
+    constexpr std::uint32_t max_body_bytes = 1024;
     http_limits limits;
     limits.max_connections = max_connections;
+    limits.max_header_bytes = max_header_bytes;
+    limits.max_body_bytes = max_body_bytes;
     return limits;
 }
 
