One budget for the bytes that an entry holds for its callers

Callers saw entries end for want of memory: each connection could hold a body of 4 MiB, twice once it was sent on, and buffers that grew with a large request stayed with the idle connection.

The reading loop is the server's own now, as Beast's operations read a whole header or body before they return. A request's copy for its replica is not serialized once more, and is freed when it was sent.

--- a/include/hornbeamweir/core/result_code.hpp
+++ b/include/hornbeamweir/core/result_code.hpp
@@ -24,6 +24,7 @@
     key_reused = 107,
     key_invalid = 108,
     connection_limit = 109,
+    memory_limit = 110,
     no_backend_server = 200,
     rate_limited = 201,
     concurrency_limited = 202,
@@ -61,7 +62,7 @@
 template <>
 struct enum_table<result_code>
 {
-    static constexpr std::array<enum_name<result_code>, 43> rows{{
+    static constexpr std::array<enum_name<result_code>, 44> rows{{
         {result_code::ok, "ok"},
         {result_code::malformed_request, "malformed_request"},
         {result_code::unauthorized, "unauthorized"},
@@ -73,6 +74,7 @@
         {result_code::key_reused, "key_reused"},
         {result_code::key_invalid, "key_invalid"},
         {result_code::connection_limit, "connection_limit"},
+        {result_code::memory_limit, "memory_limit"},
         {result_code::no_backend_server, "no_backend_server"},
         {result_code::rate_limited, "rate_limited"},
         {result_code::concurrency_limited, "concurrency_limited"},
--- a/include/hornbeamweir/http/connection_pool.hpp
+++ b/include/hornbeamweir/http/connection_pool.hpp
@@ -3,6 +3,7 @@
 #include <hornbeamweir/core/error.hpp>
 #include <hornbeamweir/core/time.hpp>
 #include <hornbeamweir/http/http_exchange.hpp>
+#include <hornbeamweir/http/memory_budget.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -70,7 +71,11 @@
     };
 
     /// \param max_idle Maximum number of idle connections for each server.
-    connection_pool(boost::asio::io_context& context, std::size_t max_idle);
+    /// \param budget Counts what calls hold; null for no limit.
+    connection_pool(
+        boost::asio::io_context& context,
+        std::size_t max_idle,
+        std::shared_ptr<memory_budget> budget = nullptr);
     connection_pool(connection_pool const&) = delete;
     connection_pool& operator=(connection_pool const&) = delete;
     ~connection_pool();
--- a/include/hornbeamweir/http/http_server.hpp
+++ b/include/hornbeamweir/http/http_server.hpp
@@ -2,6 +2,7 @@
 
 #include <hornbeamweir/core/time.hpp>
 #include <hornbeamweir/http/http_exchange.hpp>
+#include <hornbeamweir/http/memory_budget.hpp>
 
 #include <boost/asio/io_context.hpp>
 
@@ -48,17 +49,22 @@
         std::uint64_t malformed = 0;
         /// Connections that were ended to make room for others.
         std::uint64_t evicted = 0;
+        /// Requests that were rejected for want of memory.
+        std::uint64_t shed = 0;
         /// Connections that are open now.
         std::uint64_t open = 0;
     };
 
     /// \brief Binds and listens; throws boost::system::system_error.
+    /// \param budget Limits the bytes held for callers, together with others
+    /// that use it; null for no limit.
     http_server(
         boost::asio::io_context& context,
         std::string const& address,
         http_limits limits,
         http_handler handler,
-        error_response_writer write_error);
+        error_response_writer write_error,
+        std::shared_ptr<memory_budget> budget = nullptr);
     http_server(http_server const&) = delete;
     http_server& operator=(http_server const&) = delete;
     ~http_server();
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -51,7 +51,7 @@
         , watcher_{loop_.context(), platform_, [this](configuration_head const& head) { core_.on_platform_head(head, process_clock::now()); flush(); }}
         , vms_{loop_.context(), platform_, [this](vm_list const& list) { core_.on_vm_list(list); flush(); }}
         , messages_{loop_.context(), settings_.messages, settings_.identity.name, incarnation_, [this](peer const& from, wire::envelope const& message) { core_.on_message(from, message, process_clock::now()); flush(); }}
-        , callers_{loop_.context(), settings_.callers.address, make_http_limits(settings_.callers, settings_.limits), [this](std::shared_ptr<http_exchange> exchange, http_request_message request) { on_request(std::move(exchange), std::move(request)); }, reject_unreadable_request}
+        , callers_{loop_.context(), settings_.callers.address, make_http_limits(settings_.callers, settings_.limits), [this](std::shared_ptr<http_exchange> exchange, http_request_message request) { on_request(std::move(exchange), std::move(request)); }, reject_unreadable_request, budget_}
         , admin_{loop_.context(), settings_.admin_address, metrics_, make_admin_pages()}
     {
     }
@@ -249,6 +249,8 @@
 
     entry_settings settings_;
     daemon_loop loop_;
+    std::shared_ptr<memory_budget> budget_ =
+        std::make_shared<memory_budget>(held_bytes_limit(settings_.limits));
     console_log log_;
     metrics_registry metrics_;
     random_source random_;
--- a/src/daemon/relay_exchanges.cpp
+++ b/src/daemon/relay_exchanges.cpp
@@ -40,6 +40,7 @@
 
 relay_exchanges::relay_exchanges(
     boost::asio::io_context& context,
+    std::shared_ptr<memory_budget> budget,
     relay::relay_core& core,
     relay_codec const& codec,
     time_point (*clock)() noexcept,
@@ -49,7 +50,7 @@
     , codec_{codec}
     , clock_{clock}
     , attempts_opened_{std::move(attempts_opened)}
-    , pool_{context, max_idle_connections}
+    , pool_{context, max_idle_connections, std::move(budget)}
 {
 }
 
--- a/src/daemon/relay_exchanges.hpp
+++ b/src/daemon/relay_exchanges.hpp
@@ -16,9 +16,11 @@
 class relay_exchanges
 {
 public:
+    /// \param budget Limits the bytes held for callers and replicas.
     /// \param attempts_opened Called after attempts have been opened.
     relay_exchanges(
         boost::asio::io_context& context,
+        std::shared_ptr<memory_budget> budget,
         relay::relay_core& core,
         relay_codec const& codec,
         time_point (*clock)() noexcept,
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -93,8 +93,10 @@
 }
 
 connection_pool::connection_pool(
-    boost::asio::io_context& context, std::size_t max_idle)
-    : impl_{std::make_shared<impl>(context, max_idle)}
+    boost::asio::io_context& context,
+    std::size_t max_idle,
+    std::shared_ptr<memory_budget> budget)
+    : impl_{std::make_shared<impl>(context, max_idle, std::move(budget))}
 {
 }
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -40,7 +40,8 @@
         std::string const& address,
         http_limits const& limits,
         http_handler handler,
-        error_response_writer write_error)
+        error_response_writer write_error,
+        std::shared_ptr<memory_budget> budget)
         : context_{context}
         , acceptor_{context, endpoint_or_throw(address)}
         , accept_timer_{context}
@@ -49,6 +50,7 @@
         shared_->limits = limits;
         shared_->handler = std::move(handler);
         shared_->write_error = std::move(write_error);
+        shared_->budget = std::move(budget);
     }
 
     void accept()
@@ -106,6 +108,7 @@
         counters totals = totals_;
         totals.malformed = shared_->malformed;
         totals.evicted = shared_->evicted;
+        totals.shed = shared_->shed;
         totals.open = shared_->open;
         return totals;
     }
@@ -150,9 +153,15 @@
     std::string const& address,
     http_limits limits,
     http_handler handler,
-    error_response_writer write_error)
+    error_response_writer write_error,
+    std::shared_ptr<memory_budget> budget)
     : impl_{std::make_shared<impl>(
-          context, address, limits, std::move(handler), std::move(write_error))}
+          context,
+          address,
+          limits,
+          std::move(handler),
+          std::move(write_error),
+          std::move(budget))}
 {
     impl_->accept();
 }
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -18,6 +18,8 @@
 using tcp = boost::asio::ip::tcp;
 
 constexpr unsigned http_1_1 = 11;
+/// What a connection holds beside its buffers.
+constexpr std::size_t connection_bytes = std::size_t{4} * 1024;
 
 } // namespace
 
@@ -26,8 +28,10 @@
     : stream_{std::move(socket)}
     , shared_{std::move(shared)}
     , read_timer_{stream_.get_executor()}
+    , charge_{shared_->budget}
 {
     ++shared_->open;
+    update_charge();
 }
 
 http_session::~http_session()
@@ -41,12 +45,26 @@
     read_request();
 }
 
+void http_session::update_charge() noexcept
+{
+    charge_.set(
+        phase_ == phase::closed
+            ? 0
+            : held_bytes_without_request() + request_bytes_);
+}
+
+std::size_t http_session::held_bytes_without_request() const noexcept
+{
+    return connection_bytes + buffer_.capacity() + queued_bytes_;
+}
+
 void http_session::dispatch_request()
 {
     phase_ = phase::responding;
     ++served_requests_;
     http_request_message request = std::move(request_);
     request.body = std::move(parser_->get().body());
+    parser_.reset();
     stream_.expires_never();
     if (!shared_->handler)
     {
@@ -159,7 +177,9 @@
 
 void http_session::enqueue(std::string bytes, std::size_t data_bytes)
 {
+    queued_bytes_ += bytes.size();
     writes_.push_back({std::move(bytes), data_bytes});
+    update_charge();
     if (writes_.size() == 1)
         write_next();
 }
@@ -185,7 +205,9 @@
         return;
     }
     std::size_t const n = writes_.front().data_bytes;
+    queued_bytes_ -= writes_.front().bytes.size();
     writes_.pop_front();
+    update_charge();
     if (written_ && n > 0)
         written_(n);
     if (phase_ == phase::closed)
@@ -211,6 +233,7 @@
     }
     boost::system::error_code ignored;
     stream_.socket().cancel(ignored);
+    request_bytes_ = 0;
     read_request();
 }
 
@@ -247,10 +270,11 @@
 }
 
 // Reads in progress end with an error, which finds another phase.
-void http_session::evict()
+void http_session::evict(result_code code)
 {
     shared_->waiting.erase(this);
     read_timer_.cancel();
+    ++(code == result_code::memory_limit ? shared_->shed : shared_->evicted);
     if (!has_received())
     {
         close();
@@ -258,7 +282,13 @@
     }
     boost::system::error_code ignored;
     stream_.socket().cancel(ignored);
-    reject(result_code::connection_limit);
+    parser_.reset();
+    buffer_.clear();
+    buffer_.shrink_to_fit();
+    request_ = {};
+    request_bytes_ = 0;
+    update_charge();
+    reject(code);
 }
 
 void http_session::close()
@@ -270,6 +300,7 @@
     written_ = nullptr;
     disconnected_ = nullptr;
     stream_.close();
+    update_charge();
 }
 
 } // namespace hornbeamweir
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hornbeamweir/http/http_server.hpp>
+#include <hornbeamweir/http/memory_budget.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -24,6 +25,8 @@
     http_limits limits;
     http_handler handler;
     error_response_writer write_error;
+    /// Null for no limit.
+    std::shared_ptr<memory_budget> budget;
     /// Whether connections close after their next response.
     bool closing = false;
     /// Sessions whose request has not arrived completely.
@@ -31,6 +34,8 @@
     std::uint64_t malformed = 0;
     /// Connections that were ended to make room for others.
     std::uint64_t evicted = 0;
+    /// Requests that were rejected for want of memory.
+    std::uint64_t shed = 0;
     std::uint64_t open = 0;
 };
 
@@ -51,7 +56,8 @@
 
     /// \brief Ends the connection while its request is being read. A caller
     /// that has sent a part of a request is told that it was not executed.
-    void evict();
+    /// \param code Tells the caller why.
+    void evict(result_code code);
     /// \brief Whether any part of the next request has arrived.
     [[nodiscard]] bool has_received() const noexcept;
     /// \brief Whether the next request has arrived, but none of it was read.
@@ -62,6 +68,16 @@
     {
         return served_requests_;
     }
+    /// \brief Returns the bytes that are held for the connection.
+    [[nodiscard]] std::size_t held_bytes() const noexcept
+    {
+        return charge_.bytes();
+    }
+    /// \brief Returns when a part of the request was last received.
+    [[nodiscard]] time_point last_received_at() const noexcept
+    {
+        return last_received_at_;
+    }
     /// \brief Returns since when the next request is waited for.
     [[nodiscard]] time_point reading_since() const noexcept
     {
@@ -86,10 +102,13 @@
 
     void read_request();
     void start_read_timer(duration limit);
-    void on_header(boost::system::error_code ec);
+    [[nodiscard]] std::size_t next_read_size() const;
+    void read_more();
+    void on_received(boost::system::error_code ec, std::size_t n);
+    void parse();
+    void on_header();
     void take_head();
     void send_continue();
-    void read_body();
     void on_request(boost::system::error_code ec);
     void reject(result_code code);
     void dispatch_request();
@@ -98,6 +117,10 @@
     void write_next();
     void on_written(boost::system::error_code ec);
     void on_response_complete();
+    /// Counts what the request needs; makes room for it if there is none.
+    [[nodiscard]] bool reserve_request();
+    void update_charge() noexcept;
+    [[nodiscard]] std::size_t held_bytes_without_request() const noexcept;
     void close();
     void report_disconnect();
 
@@ -116,12 +139,19 @@
     std::optional<
         boost::beast::http::request_parser<boost::beast::http::string_body>>
         parser_;
+    memory_charge charge_;
+    /// Bytes of the request, with the copy that is sent to a backend server.
+    std::size_t request_bytes_ = 0;
+    std::size_t head_bytes_ = 0;
+    std::size_t queued_bytes_ = 0;
     std::deque<pending_write> writes_;
     std::function<void(std::size_t)> written_;
     std::function<void()> disconnected_;
     phase phase_ = phase::reading;
     std::uint64_t served_requests_ = 0;
     time_point reading_since_{};
+    time_point last_received_at_{};
+    bool head_taken_ = false;
     unsigned version_ = 11;
     bool keep_alive_ = true;
     bool head_request_ = false;
--- a/src/http/http_session_reading.cpp
+++ b/src/http/http_session_reading.cpp
@@ -1,7 +1,6 @@
-#include "http_session.hpp"
+#include "session_eviction.hpp"
 
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include <algorithm>
 #include <array>
@@ -17,6 +16,8 @@
 /// Bytes that may wait to be parsed beside a header: a part of a body, a chunk
 /// header, or a trailer.
 constexpr std::size_t max_unparsed_bytes = std::size_t{32} * 1024;
+/// Size of the buffer that an idle connection keeps.
+constexpr std::size_t max_idle_buffer = std::size_t{4} * 1024;
 
 struct read_error
 {
@@ -71,6 +72,8 @@
     reading_since_ = process_clock::now();
     finished_ = false;
     read_timed_out_ = false;
+    head_taken_ = false;
+    head_bytes_ = 0;
     written_ = nullptr;
     disconnected_ = nullptr;
     parser_.emplace();
@@ -78,21 +81,50 @@
     parser_->body_limit(shared_->limits.max_body_bytes);
     buffer_.max_size(std::max(
         buffer_.size(), shared_->limits.max_header_bytes + max_unparsed_bytes));
+    // A connection may stay idle for long after a large request.
+    if (buffer_.capacity() > max_idle_buffer)
+        buffer_.shrink_to_fit();
+    update_charge();
     // A new connection must send its request promptly; a reused one may be idle
     // between requests.
     stream_.expires_never();
     start_read_timer(
         first_request_ ? shared_->limits.first_request_timeout
                        : shared_->limits.idle_timeout);
-    http::async_read_header(
-        stream_,
-        buffer_,
-        *parser_,
-        [self = shared_from_this()](boost::system::error_code ec, std::size_t)
-        { self->on_header(ec); });
+    // Callers may send a request before they have read the last response.
+    if (buffer_.size() > 0)
+        parse();
+    else
+        read_more();
+}
+
+std::size_t http_session::next_read_size() const
+{
+    constexpr std::size_t min_read = 512;
+    constexpr std::size_t max_read = std::size_t{16} * 1024;
+    std::size_t const room = buffer_.max_size() - buffer_.size();
+    std::size_t const expected =
+        head_taken_ ? parser_->content_length_remaining().value_or(max_read)
+                    : std::max(min_read, buffer_.capacity() - buffer_.size());
+    return std::min(room, std::clamp(expected, min_read, max_read));
+}
+
+void http_session::read_more()
+{
+    std::size_t const n = next_read_size();
+    if (n == 0)
+    {
+        on_request(http::error::buffer_overflow);
+        return;
+    }
+    stream_.async_read_some(
+        buffer_.prepare(n),
+        [self = shared_from_this()](
+            boost::system::error_code ec, std::size_t received)
+        { self->on_received(ec, received); });
 }
 
-void http_session::on_header(boost::system::error_code ec)
+void http_session::on_received(boost::system::error_code ec, std::size_t n)
 {
     if (phase_ != phase::reading)
         return;
@@ -101,12 +133,63 @@
         on_request(ec);
         return;
     }
+    buffer_.commit(n);
+    last_received_at_ = process_clock::now();
+    parse();
+}
+
+void http_session::parse()
+{
+    boost::system::error_code ec;
+    while (!ec && buffer_.size() > 0 && !parser_->is_done())
+    {
+        std::size_t const n = parser_->put(buffer_.data(), ec);
+        buffer_.consume(n);
+        if (!head_taken_)
+            head_bytes_ += n;
+        if (!ec && !head_taken_ && parser_->is_header_done())
+        {
+            on_header();
+            return;
+        }
+    }
+    if (ec && ec != http::error::need_more)
+        on_request(ec);
+    else if (!reserve_request())
+        evict(result_code::memory_limit);
+    else if (parser_->is_done())
+        on_request({});
+    else
+        read_more();
+}
+
+// The body is counted with its announced length at once, as a request that will
+// not find room is better rejected before its body is sent.
+bool http_session::reserve_request()
+{
+    std::size_t const announced =
+        head_taken_ ? parser_->content_length().value_or(0) : 0;
+    std::size_t const body =
+        std::max<std::size_t>(announced, parser_->get().body().capacity());
+    request_bytes_ = 2 * (head_bytes_ + body);
+    std::size_t const wanted = held_bytes_without_request() + request_bytes_;
+    if (charge_.try_set(wanted))
+        return true;
+    return make_room(*shared_, *this, wanted) && charge_.try_set(wanted);
+}
+
+void http_session::on_header()
+{
     take_head();
+    head_taken_ = true;
     start_read_timer(shared_->limits.read_timeout);
-    if (same_header_name(parser_->get()[http::field::expect], "100-continue"))
+    if (!reserve_request())
+        evict(result_code::memory_limit);
+    else if (same_header_name(
+                 parser_->get()[http::field::expect], "100-continue"))
         send_continue();
     else
-        read_body();
+        parse();
 }
 
 // Taken before the body is read, as trailer fields are added to the same
@@ -140,20 +223,10 @@
             if (ec)
                 self->close();
             else
-                self->read_body();
+                self->parse();
         });
 }
 
-void http_session::read_body()
-{
-    http::async_read(
-        stream_,
-        buffer_,
-        *parser_,
-        [self = shared_from_this()](boost::system::error_code ec, std::size_t)
-        { self->on_request(ec); });
-}
-
 void http_session::on_request(boost::system::error_code ec)
 {
     if (phase_ != phase::reading)
--- a/src/http/pooled_connection.hpp
+++ b/src/http/pooled_connection.hpp
@@ -45,9 +45,13 @@
     : public std::enable_shared_from_this<connection_pool::impl>
 {
 public:
-    impl(boost::asio::io_context& context, std::size_t max_idle)
+    impl(
+        boost::asio::io_context& context,
+        std::size_t max_idle,
+        std::shared_ptr<memory_budget> budget)
         : context_{context}
         , max_idle_{max_idle}
+        , budget_{std::move(budget)}
     {
     }
 
@@ -68,6 +72,11 @@
         return context_;
     }
 
+    [[nodiscard]] std::shared_ptr<memory_budget> const& budget() const noexcept
+    {
+        return budget_;
+    }
+
     counters totals;
 
 private:
@@ -78,6 +87,7 @@
 
     boost::asio::io_context& context_;
     std::size_t max_idle_;
+    std::shared_ptr<memory_budget> budget_;
     std::map<boost::asio::ip::tcp::endpoint, idle_list> idle_;
     bool closed_ = false;
 };
--- a/src/http/pooled_exchange.cpp
+++ b/src/http/pooled_exchange.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <array>
 #include <netinet/tcp.h>
 #include <optional>
 
@@ -32,6 +33,9 @@
 constexpr int max_skipped = 3;
 /// Maximum number of informational responses before the final one.
 constexpr int max_informational = 8;
+/// What a call holds beside the request: the connection, and a part of the
+/// response.
+constexpr std::size_t call_bytes = std::size_t{32} * 1024;
 
 } // namespace
 
@@ -42,16 +46,19 @@
 
     pooled_exchange(
         std::shared_ptr<connection_pool::impl> pool,
-        http_request_message const& request,
+        http_request_message request,
         pooled_call_options options,
         pooled_call_handlers handlers)
         : pool_{std::move(pool)}
         , options_{std::move(options)}
         , handlers_{std::move(handlers)}
         , timer_{pool_->context()}
-        , bytes_{serialize_request(request)}
+        , charge_{pool_->budget()}
+        , head_{serialize_head(request)}
+        , body_{std::move(request.body)}
         , is_head_request_{request.method == "HEAD"}
     {
+        charge_.set(call_bytes);
         if (!options_.correlation_header.empty())
         {
             std::string const* const id =
@@ -126,7 +133,7 @@
         sent_ = true;
         asio::async_write(
             connection_->socket,
-            asio::buffer(bytes_),
+            std::array{asio::buffer(head_), asio::buffer(body_)},
             [self =
                  shared_from_this()](boost::system::error_code ec, std::size_t)
             {
@@ -135,10 +142,18 @@
                 if (ec)
                     self->fail(result_code::backend_failed, ec.message());
                 else
-                    self->read_head();
+                    self->on_sent();
             });
     }
 
+    // The response may last long, and the request is not needed any more.
+    void on_sent()
+    {
+        head_ = {};
+        body_ = {};
+        read_head();
+    }
+
     void read_head()
     {
         parser_.emplace();
@@ -278,6 +293,7 @@
         duration const usable =
             keep_alive_time(parser_->get()[http::field::keep_alive]);
         timer_.cancel();
+        charge_.set(0);
         std::shared_ptr<pooled_connection> connection = std::move(connection_);
         connection_ = nullptr;
         if (reusable)
@@ -302,6 +318,7 @@
     void close()
     {
         timer_.cancel();
+        charge_.set(0);
         if (!connection_)
             return;
         close_socket(connection_->socket);
@@ -317,7 +334,9 @@
     pooled_call_options options_;
     pooled_call_handlers handlers_;
     asio::steady_timer timer_;
-    std::string bytes_;
+    memory_charge charge_;
+    std::string head_;
+    std::string body_;
     std::optional<std::string> expected_id_;
     /// Null before the start and after the end.
     std::shared_ptr<pooled_connection> connection_;
@@ -387,7 +406,10 @@
 {
     std::shared_ptr<pooled_exchange> const exchange =
         std::make_shared<pooled_exchange>(
-            std::move(pool), request, std::move(options), std::move(handlers));
+            std::move(pool),
+            std::move(request),
+            std::move(options),
+            std::move(handlers));
     // Deferred, so that no handler is called before the caller holds the
     // handle.
     asio::post(
--- a/src/http/request_text.cpp
+++ b/src/http/request_text.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-std::string serialize_request(http_request_message const& message)
+std::string serialize_head(http_request_message const& message)
 {
     std::string out = message.method + ' ' + message.target + " HTTP/1.1\r\n";
     for (header_field const& field : message.headers)
@@ -34,7 +34,7 @@
             .append(std::to_string(message.body.size()))
             .append("\r\n");
     }
-    out.append("\r\n").append(message.body);
+    out.append("\r\n");
     return out;
 }
 
--- a/src/http/request_text.hpp
+++ b/src/http/request_text.hpp
@@ -6,10 +6,9 @@
 namespace hornbeamweir
 {
 
-/// \brief Serializes a request for HTTP/1.1.
+/// \brief Serializes the header of a request for HTTP/1.1, up to its body.
 /// \remarks Leaves out hop-by-hop fields and sets Content-Length from the body.
-[[nodiscard]] std::string
-serialize_request(http_request_message const& message);
+[[nodiscard]] std::string serialize_head(http_request_message const& message);
 
 /// \brief Returns the time for which an idle connection may be reused, from a
 /// Keep-Alive field such as "timeout=5, max=100".
