Answers that callers do not read are bounded over all connections

Each caller that reads nothing could make an entry hold 256 KiB of its answer, and the kernel 2.6 MB more in the send buffer of the connection: 494 MB for 500 callers.

While more than half of the budget is held, reading from a replica pauses at 16 KiB that its caller has not taken, instead of 256 KiB. Connections of callers have send buffers of 32 KiB. What callers hold up is not read from replicas, so that no answer is lost.

--- a/include/hornbeamweir/http/http_server.hpp
+++ b/include/hornbeamweir/http/http_server.hpp
@@ -21,6 +21,9 @@
     /// Beyond it, connections without a complete request make room for new
     /// ones.
     std::uint32_t max_connections = 10'000;
+    /// Size of the kernel's send buffer of a connection, which callers that
+    /// read nothing can fill; 0 for the system's default.
+    std::uint32_t send_buffer_bytes = 0;
     /// Time limit for reading a body after its header, and for each write.
     duration read_timeout = std::chrono::seconds{10};
     /// Time limit for reading the first header of a new connection.
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -11,6 +11,7 @@
 
 #include "admin_endpoint.hpp"
 #include "daemon_loop.hpp"
+#include "port_limits.hpp"
 #include "unreadable_request.hpp"
 
 #include <boost/json/array.hpp>
@@ -27,6 +28,7 @@
 {
     http_limits limits;
     limits.max_header_bytes = settings.max_header_bytes;
+    limits.send_buffer_bytes = caller_send_buffer_bytes;
     limits.max_body_bytes = settings.max_body_bytes;
     limits.max_connections =
         std::min(settings.max_connections, socket_limit(machine));
--- a/src/daemon/port_limits.hpp
+++ b/src/daemon/port_limits.hpp
@@ -10,6 +10,10 @@
 /// no bodies.
 [[nodiscard]] http_limits internal_port_limits();
 
+/// Send buffer of a caller's connection: some events of a stream, or a part of
+/// a plain answer.
+constexpr std::uint32_t caller_send_buffer_bytes = 32 * 1024;
+
 /// \brief Returns how many connections of callers fit if each may need another
 /// one, to a backend server.
 [[nodiscard]] std::uint32_t
--- a/src/daemon/relay_exchanges.cpp
+++ b/src/daemon/relay_exchanges.cpp
@@ -20,8 +20,9 @@
 /// only after a second.
 constexpr duration connect_timeout = std::chrono::milliseconds{700};
 /// Bytes not yet written to a slow caller above which reading from the replica
-/// pauses.
+/// pauses, and the same while much is held for callers.
 constexpr std::size_t max_unwritten_bytes = std::size_t{256} * 1024;
+constexpr std::size_t max_unwritten_bytes_if_tight = std::size_t{16} * 1024;
 /// Added to the call's timeout, so that the core's deadline expires first.
 constexpr duration deadline_slack = std::chrono::milliseconds{400};
 
@@ -46,11 +47,12 @@
     time_point (*clock)() noexcept,
     std::function<void()> attempts_opened)
     : context_{context}
+    , budget_{std::move(budget)}
     , core_{core}
     , codec_{codec}
     , clock_{clock}
     , attempts_opened_{std::move(attempts_opened)}
-    , pool_{context, max_idle_connections, std::move(budget)}
+    , pool_{context, max_idle_connections, budget_}
 {
 }
 
@@ -89,6 +91,7 @@
     if (found == exchanges_.end() || !request)
         return;
     found->second.attempt = it.attempt;
+    found->second.is_paused = false;
     std::optional<boost::asio::ip::tcp::endpoint> const server =
         tcp_endpoint(it.target.address);
     if (!server)
@@ -165,8 +168,11 @@
     if (found == exchanges_.end())
         return;
     found->second.unwritten += it.bytes.size();
-    if (found->second.unwritten > max_unwritten_bytes && found->second.call)
+    if (found->second.unwritten > max_unwritten() && found->second.call)
+    {
+        found->second.is_paused = true;
         found->second.call->pause(true);
+    }
     found->second.exchange->send_data(std::move(it.bytes));
 }
 
@@ -175,12 +181,19 @@
     auto const found = exchanges_.find(id);
     if (found == exchanges_.end())
         return;
-    std::size_t const before = found->second.unwritten;
-    found->second.unwritten = before - std::min(n, before);
-    bool const resumes = before > max_unwritten_bytes &&
-                         found->second.unwritten <= max_unwritten_bytes;
-    if (resumes && found->second.call)
-        found->second.call->pause(false);
+    open_exchange& it = found->second;
+    it.unwritten -= std::min(n, it.unwritten);
+    if (it.is_paused && it.unwritten <= max_unwritten() && it.call)
+    {
+        it.is_paused = false;
+        it.call->pause(false);
+    }
+}
+
+std::size_t relay_exchanges::max_unwritten() const noexcept
+{
+    return budget_->is_tight() ? max_unwritten_bytes_if_tight
+                               : max_unwritten_bytes;
 }
 
 void relay_exchanges::perform(relay::send_end const& it)
--- a/src/daemon/relay_exchanges.hpp
+++ b/src/daemon/relay_exchanges.hpp
@@ -46,6 +46,8 @@
         std::uint32_t attempt = 0;
         /// Bytes not yet written to the caller.
         std::size_t unwritten = 0;
+        /// Whether reading from the replica waits for the caller.
+        bool is_paused = false;
     };
 
     void perform(relay::open_attempt const& it);
@@ -57,12 +59,15 @@
     void perform(relay::abort_response const& it);
     void perform(relay::check_replica const& it);
     void on_written(exchange_id id, std::size_t n);
+    /// Returns the unwritten bytes above which reading from a replica pauses.
+    [[nodiscard]] std::size_t max_unwritten() const noexcept;
     void on_failed(
         exchange_id id, std::uint32_t attempt, error const& reason, bool sent);
     [[nodiscard]] pooled_call_handlers
     handlers_for(exchange_id id, std::uint32_t attempt);
 
     boost::asio::io_context& context_;
+    std::shared_ptr<memory_budget> budget_;
     relay::relay_core& core_;
     relay_codec const& codec_;
     time_point (*clock_)() noexcept;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -138,6 +138,13 @@
         ++totals_.accepted;
         boost::system::error_code ignored;
         socket.set_option(tcp::no_delay{true}, ignored);
+        if (shared_->limits.send_buffer_bytes > 0)
+        {
+            socket.set_option(
+                asio::socket_base::send_buffer_size{
+                    static_cast<int>(shared_->limits.send_buffer_bytes)},
+                ignored);
+        }
         std::make_shared<http_session>(std::move(socket), shared_)->start();
     }
 
