Names under which datagrams are accepted are bounded

Loads and rates are kept for known replicas only, reports of ranks below the size of the group only, and loads of entries that are gone are dropped.

--- a/include/hornbeamweir/peers/datagram_link.hpp
+++ b/include/hornbeamweir/peers/datagram_link.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hornbeamweir/peers/datagram_traffic.hpp>
+#include <hornbeamweir/peers/sender_admission.hpp>
 #include <hornbeamweir/peers/stale_datagram_filter.hpp>
 #include <hornbeamweir/telemetry/metrics_registry.hpp>
 
@@ -30,6 +31,7 @@
     /// \brief Binds; throws boost::system::system_error.
     /// \param incarnation Random number that identifies this run of the
     /// process.
+    /// \param is_registered Whether a process is registered in the store.
     datagram_link(
         boost::asio::io_context& context,
         endpoint const& local,
@@ -37,6 +39,7 @@
         std::string sender,
         std::uint64_t incarnation,
         metrics_registry& metrics,
+        std::function<bool(process_name const&)> is_registered,
         handler received);
     datagram_link(datagram_link const&) = delete;
     datagram_link& operator=(datagram_link const&) = delete;
@@ -61,6 +64,7 @@
     std::string sender_;
     std::uint64_t incarnation_;
     std::uint64_t sequence_ = 0;
+    sender_admission admission_;
     stale_datagram_filter filter_;
     datagram_traffic traffic_;
     metrics_registry& metrics_;
--- a/include/hornbeamweir/peers/peer_registry.hpp
+++ b/include/hornbeamweir/peers/peer_registry.hpp
@@ -48,6 +48,12 @@
     void on_peer_alive(
         process_name const& who, std::string_view role, endpoint const& from);
 
+    /// \brief Whether a process was registered when the store was last read.
+    [[nodiscard]] bool is_registered(process_name const& who) const
+    {
+        return registered_.contains(who);
+    }
+
     /// \brief Returns the known processes of a role, except this one.
     [[nodiscard]] std::map<process_name, endpoint> const&
     peers(std::string const& role) const;
@@ -82,6 +88,9 @@
     std::uint64_t lease_era_ = 0;
     bool reading_ = false;
     std::map<std::string, std::map<process_name, endpoint>> peers_;
+    std::set<process_name> registered_;
+    /// Number of peers that were heard, but not read from the store.
+    std::size_t unregistered_peers_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/include/hornbeamweir/peers/stale_datagram_filter.hpp
+++ b/include/hornbeamweir/peers/stale_datagram_filter.hpp
@@ -21,6 +21,10 @@
     [[nodiscard]] bool is_newest(wire::datagram const& message);
 
 private:
+    /// Names of processes that have ended stay until the table is full; it
+    /// starts anew then, and a late datagram may pass once.
+    static constexpr std::size_t max_stamps = 65'536;
+
     struct stamp
     {
         std::uint64_t incarnation = 0;
--- a/src/daemon/rank_agent_daemon.cpp
+++ b/src/daemon/rank_agent_daemon.cpp
@@ -64,7 +64,7 @@
         , platform_{connect(loop_.context(), settings_.platform_address)}
         , coordination_{*platform_, records, log_, metrics_, suspend_aware_now, random_source{random_.next()}, settings_.name.str(), settings_.fences_checked, settings_.link_megabits_per_second, [this](std::vector<rank_order> const& orders) { orders_.send(orders, suspend_aware_now()); }}
         , registry_{loop_.context(), *platform_, log_, std::string{agent_role}, settings_.name, udp_endpoint(settings_.peers_address)}
-        , link_{loop_.context(), udp_endpoint(settings_.peers_address), std::string{agent_role}, settings_.name.str(), random_.next(), metrics_, [this](udp_address const& from, wire::datagram const& message) { on_datagram(from, message); }}
+        , link_{loop_.context(), udp_endpoint(settings_.peers_address), std::string{agent_role}, settings_.name.str(), random_.next(), metrics_, [this](process_name const& who) { return registry_.is_registered(who); }, [this](udp_address const& from, wire::datagram const& message) { on_datagram(from, message); }}
         , orders_{coordination_, link_, log_, settings_.rank_address, {[this](rank_order const& order) { execute(order); }, [this](std::string const& address, rank_order const& order) { execute_directly(address, order); }}}
     {
     }
@@ -314,8 +314,15 @@
         }
         else if (message.has_report())
         {
-            orders_.on_agent_report(message.report().address(), from, now);
-            coordination_.on_report(message.report());
+            wire::rank_report const& report = message.report();
+            bool const is_of_own_group =
+                report.group() == coordination_.group().str();
+            // State is kept for each rank of the group.
+            if (is_of_own_group && !is_plausible(report))
+                return;
+            if (is_of_own_group)
+                orders_.on_agent_report(report.address(), from, now);
+            coordination_.on_report(report);
         }
         else if (message.has_order())
         {
@@ -328,6 +335,12 @@
         }
     }
 
+    [[nodiscard]] bool is_plausible(wire::rank_report const& report) const
+    {
+        return report.rank() < coordination_.ranks() &&
+               tcp_endpoint(report.address()).has_value();
+    }
+
     // A new coordinator may have to release a pass, for which it needs the
     // states of all ranks.
     void on_heartbeat(
--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -114,7 +114,7 @@
         , routes_{loop_.context(), *platform_, *platform_, codec_, log_, suspend_aware_now, [this](route_configuration next, time_point as_of) { apply_configuration(std::move(next), as_of); }, [this](time_point as_of) { core_.routes().confirm(as_of); }, [this](evacuations const& next) { exchanges_.apply(core_.on_evacuations(next, "store", suspend_aware_now())); }}
         , replicas_{loop_.context(), *platform_, codec_, log_, suspend_aware_now, [this](replica_watcher::snapshot snapshot) { apply_replicas(std::move(snapshot)); }}
         , registry_{loop_.context(), *platform_, log_, std::string{entry_role}, settings_.name, udp_endpoint(settings_.peers_address)}
-        , link_{loop_.context(), udp_endpoint(settings_.peers_address), std::string{entry_role}, settings_.name.str(), random_.next(), metrics_, [this](boost::asio::ip::udp::endpoint const& from, wire::datagram const& message) { on_datagram(from, message); }}
+        , link_{loop_.context(), udp_endpoint(settings_.peers_address), std::string{entry_role}, settings_.name.str(), random_.next(), metrics_, [this](process_name const& who) { return registry_.is_registered(who); }, [this](boost::asio::ip::udp::endpoint const& from, wire::datagram const& message) { on_datagram(from, message); }}
         , state_{settings_.name, std::string{entry_role}, core_.routes(), routes_, replicas_, core_.evacuated(), [this](evacuations const& next, evacuation_register::retained_map const& retained) { adopt_evacuations(next, retained); }, registry_, link_, log_, metrics_}
         , crashes_{settings_.name, std::string{entry_role}, core_.quarantine(), registry_, link_, random_source{random_.next()}}
     {
@@ -246,10 +246,19 @@
         {
             std::map<backend_server_id, std::uint32_t> loads;
             for (wire::replica_load const& it : message.load().loads())
-                loads[backend_server_id{it.replica()}] = it.in_flight();
+            {
+                backend_server_id id{it.replica()};
+                if (core_.replicas().find(id))
+                    loads[std::move(id)] = it.in_flight();
+            }
             core_.loads().on_peer_load(sender, std::move(loads), now);
-            core_.rate_limits().on_peer_report(
-                sender, decode_rates(message.load(), now));
+            relay::replica_rate_limits::observations rates =
+                decode_rates(message.load(), now);
+            std::erase_if(
+                rates,
+                [this](auto const& it)
+                { return !core_.replicas().find(it.first); });
+            core_.rate_limits().on_peer_report(sender, rates);
             for (auto const& [id, remaining] : decode_cold(message.load()))
                 core_.cold().on_reported(
                     id, remaining, cold_source::peer_report, now);
--- a/src/peers/datagram_link.cpp
+++ b/src/peers/datagram_link.cpp
@@ -10,11 +10,13 @@
     std::string sender,
     std::uint64_t incarnation,
     metrics_registry& metrics,
+    std::function<bool(process_name const&)> is_registered,
     handler received)
     : socket_{context, local}
     , role_{std::move(role)}
     , sender_{std::move(sender)}
     , incarnation_{incarnation}
+    , admission_{std::move(is_registered)}
     , metrics_{metrics}
     , received_{std::move(received)}
 {
@@ -63,6 +65,14 @@
         return;
     }
     traffic_.on_datagram(datagram_traffic::direction::received, message, size);
+    if (!admission_.admit(
+            message.sender(), message.role(), process_clock::now()))
+    {
+        metrics_.count(
+            "hornbeamweir_datagrams_dropped_total",
+            {{"reason", "unknown_sender"}});
+        return;
+    }
     if (filter_.is_newest(message))
         received_(from_, message);
     else
--- a/src/peers/peer_registry.cpp
+++ b/src/peers/peer_registry.cpp
@@ -1,5 +1,6 @@
 #include <hornbeamweir/core/socket_address.hpp>
 #include <hornbeamweir/peers/peer_registry.hpp>
+#include <hornbeamweir/peers/sender_admission.hpp>
 
 #include <sstream>
 
@@ -153,6 +154,8 @@
     if (!reply)
         return;
     std::map<std::string, std::map<process_name, endpoint>> found;
+    registered_.clear();
+    unregistered_peers_ = 0;
     for (auto const& [key, stored] : reply->values)
     {
         std::string_view const rest =
@@ -165,6 +168,7 @@
         process_name const name{std::string{rest.substr(slash + 1)}};
         if (name != self_)
         {
+            registered_.insert(name);
             found[std::string{rest.substr(0, slash)}].emplace(
                 name, endpoint{address->address(), address->port()});
         }
@@ -175,8 +179,20 @@
 void peer_registry::on_peer_alive(
     process_name const& who, std::string_view role, endpoint const& from)
 {
-    if (who != self_)
-        peers_[std::string{role}].insert_or_assign(who, from);
+    if (who == self_)
+        return;
+    std::map<process_name, endpoint>& known = peers_[std::string{role}];
+    auto const it = known.find(who);
+    if (it != known.end())
+    {
+        it->second = from;
+        return;
+    }
+    // Each peer gets this process's messages, and may not exist.
+    if (!is_registered(who) &&
+        ++unregistered_peers_ > sender_admission::max_unregistered)
+        return;
+    known.emplace(who, from);
 }
 
 std::map<process_name, peer_registry::endpoint> const&
--- a/src/peers/stale_datagram_filter.cpp
+++ b/src/peers/stale_datagram_filter.cpp
@@ -7,6 +7,8 @@
 {
     if (message.has_order())
         return true;
+    if (newest_.size() >= max_stamps)
+        newest_.clear();
     stamp& newest =
         newest_[{message.sender(), static_cast<int>(message.body_case())}];
     // Incarnations are random and have no order; another one means a restart.
--- a/src/relay/replica_load_tracker.cpp
+++ b/src/relay/replica_load_tracker.cpp
@@ -54,6 +54,13 @@
 
 void replica_load_tracker::expire(time_point now)
 {
+    std::erase_if(
+        peers_,
+        [now](auto const& it)
+        {
+            return it.second.loads.empty() &&
+                   now - it.second.received_at > peer_retention;
+        });
     for (auto& [name, peer] : peers_)
     {
         if (peer.loads.empty() || now - peer.received_at <= max_report_age)
