Evacuations told by other entries are bounded

An entry kept each name of a data centre that another one said to retain, also after its time. It believes others up to 256 names now.

No test shows the growth; found by reading. test-replicas passes.

--- a/include/hornbeamweir/replicas/evacuation_register.hpp
+++ b/include/hornbeamweir/replicas/evacuation_register.hpp
@@ -41,6 +41,9 @@
     /// in the older copy, stays out of service for as long.
     static constexpr duration retention_time = std::chrono::seconds{10};
 
+    /// Maximum number of data centres up to which other entries are believed.
+    static constexpr std::size_t max_retained = 256;
+
     /// Evacuations that the store has lost, and for how much longer they hold.
     using retained_map = std::map<data_centre_id, duration>;
 
--- a/src/replicas/evacuation_register.cpp
+++ b/src/replicas/evacuation_register.cpp
@@ -39,6 +39,8 @@
         return false;
     for (auto const& [data_centre, remaining] : told)
     {
+        if (retained_.size() + settled_.size() >= max_retained)
+            break;
         if (!settled_.contains(data_centre))
         {
             retained_.try_emplace(
