A watch of the platform ends at a line that is too long

The client of the product's platform kept a line of a watch without limit, and searched all of it again after each read, so that a line without end took more and more processor time as well. Only new bytes are searched now, a line may have 16 MiB, and bytes that are not parsed yet 96 KiB.

--- a/src/platform/gateway_call.hpp
+++ b/src/platform/gateway_call.hpp
@@ -29,6 +29,7 @@
         , done_{std::move(done)}
     {
         parser_.body_limit(max_reply_bytes);
+        buffer_.max_size(max_unparsed_bytes);
     }
 
     void start(boost::asio::ip::tcp::endpoint const& endpoint, duration timeout)
@@ -42,6 +43,7 @@
 
 private:
     static constexpr std::uint64_t max_reply_bytes = 16U * 1024U * 1024U;
+    static constexpr std::size_t max_unparsed_bytes = std::size_t{96} * 1024;
 
     void on_connected(boost::system::error_code ec)
     {
--- a/src/platform/gateway_watch.hpp
+++ b/src/platform/gateway_watch.hpp
@@ -33,6 +33,7 @@
         , ended_{std::move(ended)}
     {
         parser_.body_limit(boost::none);
+        buffer_.max_size(max_unparsed_bytes);
     }
 
     void start(boost::asio::ip::tcp::endpoint const& endpoint, duration timeout)
@@ -58,6 +59,11 @@
     }
 
 private:
+    /// Size of the longest line; the events of one change of the configuration
+    /// take less.
+    static constexpr std::size_t max_line_bytes = std::size_t{16} * 1024 * 1024;
+    static constexpr std::size_t max_unparsed_bytes = std::size_t{96} * 1024;
+
     void send()
     {
         boost::beast::http::async_write(
@@ -116,17 +122,24 @@
             read_more();
     }
 
+    // Only new bytes are searched, so that a long line costs no more than its
+    // length.
     void process_lines()
     {
+        std::size_t searched = pending_.size();
         pending_ += parser_.get().body();
         parser_.get().body().clear();
-        std::size_t end_of_line = pending_.find('\n');
-        while (end_of_line != std::string::npos && changed_)
+        std::size_t begin = 0;
+        for (std::size_t end = pending_.find('\n', searched);
+             end != std::string::npos && changed_;
+             end = pending_.find('\n', begin))
         {
-            process_line(pending_.substr(0, end_of_line));
-            pending_.erase(0, end_of_line + 1);
-            end_of_line = pending_.find('\n');
+            process_line(pending_.substr(begin, end - begin));
+            begin = end + 1;
         }
+        pending_.erase(0, begin);
+        if (pending_.size() > max_line_bytes && changed_)
+            fail("found a line without end");
     }
 
     void process_line(std::string const& line)
