Idle connections to replicas make room for new ones

The pool of a relaying entry may have as many connections as callers may have; beyond it, the one that has been idle for longest makes room. Empty entries are removed, and buffers shrink.

The new case does not compile before, as the limit is new: six servers, three connections, three evicted.

--- a/include/hornbeamweir/http/connection_pool.hpp
+++ b/include/hornbeamweir/http/connection_pool.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -68,14 +69,19 @@
         std::uint64_t reused = 0;
         /// Responses that belonged to an earlier request.
         std::uint64_t skipped = 0;
+        /// Idle connections that were closed to make room for others.
+        std::uint64_t evicted = 0;
     };
 
     /// \param max_idle Maximum number of idle connections for each server.
     /// \param budget Counts what calls hold; null for no limit.
+    /// \param max_connections Number of connections to all servers beyond
+    /// which idle ones make room for new ones.
     connection_pool(
         boost::asio::io_context& context,
         std::size_t max_idle,
-        std::shared_ptr<memory_budget> budget = nullptr);
+        std::shared_ptr<memory_budget> budget = nullptr,
+        std::size_t max_connections = std::numeric_limits<std::size_t>::max());
     connection_pool(connection_pool const&) = delete;
     connection_pool& operator=(connection_pool const&) = delete;
     ~connection_pool();
--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -106,7 +106,7 @@
         , log_{settings_.log, settings_.name.str()}
         , random_{system_seed()}
         , core_{make_core_settings(settings_, started_at_), log_, metrics_, random_source{random_.next()}}
-        , exchanges_{loop_.context(), budget_, core_, codec_, suspend_aware_now, [this] { report_loads(); }}
+        , exchanges_{loop_.context(), budget_, max_relayed_connections(settings_.limits), core_, codec_, suspend_aware_now, [this] { report_loads(); }}
         , callers_{loop_.context(), settings_.callers_address, make_http_limits({}, settings_.limits), [this](std::shared_ptr<http_exchange> exchange, http_request_message request) { exchanges_.accept(std::move(exchange), std::move(request)); }, reject_unreadable_request, budget_}
         , readiness_{loop_.context(), settings_.readiness_address, internal_port_limits(), [this](std::shared_ptr<http_exchange> exchange, http_request_message const& request) { handle_readiness_request(*exchange, request); }, reject_unreadable_request}
         , admin_{loop_.context(), settings_.metrics_address, metrics_, admin_pages{[this] { return ready(); }, [this] { return status(); }, {}}}
--- a/src/daemon/relay_exchanges.cpp
+++ b/src/daemon/relay_exchanges.cpp
@@ -42,6 +42,7 @@
 relay_exchanges::relay_exchanges(
     boost::asio::io_context& context,
     std::shared_ptr<memory_budget> budget,
+    std::size_t max_connections,
     relay::relay_core& core,
     relay_codec const& codec,
     time_point (*clock)() noexcept,
@@ -52,7 +53,7 @@
     , codec_{codec}
     , clock_{clock}
     , attempts_opened_{std::move(attempts_opened)}
-    , pool_{context, max_idle_connections, budget_}
+    , pool_{context, max_idle_connections, budget_, max_connections}
 {
 }
 
--- a/src/daemon/relay_exchanges.hpp
+++ b/src/daemon/relay_exchanges.hpp
@@ -17,10 +17,13 @@
 {
 public:
     /// \param budget Limits the bytes held for callers and replicas.
+    /// \param max_connections Number of connections to replicas beyond which
+    /// idle ones make room.
     /// \param attempts_opened Called after attempts have been opened.
     relay_exchanges(
         boost::asio::io_context& context,
         std::shared_ptr<memory_budget> budget,
+        std::size_t max_connections,
         relay::relay_core& core,
         relay_codec const& codec,
         time_point (*clock)() noexcept,
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -38,17 +38,48 @@
     return nullptr;
 }
 
+std::shared_ptr<pooled_connection>
+connection_pool::impl::open(tcp::endpoint const& server)
+{
+    while (*connections_ >= max_connections_ && close_oldest_idle())
+        ++totals.evicted;
+    return std::make_shared<pooled_connection>(context_, server, connections_);
+}
+
+bool connection_pool::impl::close_oldest_idle()
+{
+    auto oldest = idle_.end();
+    for (auto it = idle_.begin(); it != idle_.end(); ++it)
+    {
+        bool const is_older =
+            !it->second.empty() &&
+            (oldest == idle_.end() || it->second.front()->idle_since <
+                                          oldest->second.front()->idle_since);
+        if (is_older)
+            oldest = it;
+    }
+    if (oldest == idle_.end())
+        return false;
+    std::shared_ptr<pooled_connection> const connection =
+        oldest->second.front();
+    evict(connection);
+    connection->stop_counting();
+    return true;
+}
+
 void connection_pool::impl::release(
     std::shared_ptr<pooled_connection> connection, duration usable)
 {
-    idle_list& connections = idle_[connection->server];
     if (closed_ || usable <= duration::zero())
     {
         close_socket(connection->socket);
         return;
     }
+    idle_list& connections = idle_[connection->server];
     connection->idle = true;
-    connection->usable_until = process_clock::now() + usable;
+    connection->idle_since = process_clock::now();
+    connection->usable_until = connection->idle_since + usable;
+    connection->buffer.shrink_to_fit();
     connections.push_back(connection);
     if (connections.size() > max_idle_)
     {
@@ -77,7 +108,14 @@
 void connection_pool::impl::evict(
     std::shared_ptr<pooled_connection> const& connection)
 {
-    idle_[connection->server].remove(connection);
+    auto const it = idle_.find(connection->server);
+    if (it != idle_.end())
+    {
+        it->second.remove(connection);
+        // Servers come and go under ever new addresses.
+        if (it->second.empty())
+            idle_.erase(it);
+    }
     close_socket(connection->socket);
 }
 
@@ -95,8 +133,10 @@
 connection_pool::connection_pool(
     boost::asio::io_context& context,
     std::size_t max_idle,
-    std::shared_ptr<memory_budget> budget)
-    : impl_{std::make_shared<impl>(context, max_idle, std::move(budget))}
+    std::shared_ptr<memory_budget> budget,
+    std::size_t max_connections)
+    : impl_{std::make_shared<impl>(
+          context, max_idle, std::move(budget), max_connections)}
 {
 }
 
--- a/src/http/pooled_connection.hpp
+++ b/src/http/pooled_connection.hpp
@@ -13,9 +13,28 @@
 /// \brief A connection to a server, in use or idle.
 struct pooled_connection
 {
-    explicit pooled_connection(boost::asio::io_context& context)
+    /// \param open Counts the connections of the pool.
+    pooled_connection(
+        boost::asio::io_context& context,
+        boost::asio::ip::tcp::endpoint to,
+        std::shared_ptr<std::size_t> open)
         : socket{context}
+        , server{std::move(to)}
+        , open_{std::move(open)}
+    {
+        ++*open_;
+    }
+    pooled_connection(pooled_connection const&) = delete;
+    pooled_connection& operator=(pooled_connection const&) = delete;
+    ~pooled_connection() { stop_counting(); }
+
+    /// \brief Counts the connection no more; its socket is closed, while
+    /// handlers that have not run yet keep the object.
+    void stop_counting() noexcept
     {
+        if (open_)
+            --*open_;
+        open_ = nullptr;
     }
 
     /// Bytes that are kept until they are parsed; a server that sends a longer
@@ -27,6 +46,7 @@
     boost::beast::flat_buffer buffer{max_unparsed_bytes};
     /// Time until which the server is expected to keep the connection open.
     time_point usable_until{};
+    time_point idle_since{};
     bool idle = false;
     /// Whether the server has named the id of a request in a response.
     bool names_ids = false;
@@ -38,6 +58,9 @@
         names_ids = names_ids || has_id;
         return has_id || !names_ids;
     }
+
+private:
+    std::shared_ptr<std::size_t> open_;
 };
 
 /// \brief The idle connections and counters of a pool.
@@ -48,10 +71,12 @@
     impl(
         boost::asio::io_context& context,
         std::size_t max_idle,
-        std::shared_ptr<memory_budget> budget)
+        std::shared_ptr<memory_budget> budget,
+        std::size_t max_connections)
         : context_{context}
         , max_idle_{max_idle}
         , budget_{std::move(budget)}
+        , max_connections_{max_connections}
     {
     }
 
@@ -60,6 +85,10 @@
     [[nodiscard]] std::shared_ptr<pooled_connection>
     acquire(boost::asio::ip::tcp::endpoint const& server);
 
+    /// \brief Returns a new connection, not yet connected.
+    [[nodiscard]] std::shared_ptr<pooled_connection>
+    open(boost::asio::ip::tcp::endpoint const& server);
+
     /// \brief Returns a connection to the pool.
     /// \param usable Time for which it may be reused; not kept if 0 or less.
     void
@@ -84,10 +113,14 @@
 
     void watch(std::shared_ptr<pooled_connection> const& connection);
     void evict(std::shared_ptr<pooled_connection> const& connection);
+    [[nodiscard]] bool close_oldest_idle();
 
     boost::asio::io_context& context_;
     std::size_t max_idle_;
     std::shared_ptr<memory_budget> budget_;
+    std::size_t max_connections_;
+    std::shared_ptr<std::size_t> connections_ =
+        std::make_shared<std::size_t>(0);
     std::map<boost::asio::ip::tcp::endpoint, idle_list> idle_;
     bool closed_ = false;
 };
--- a/src/http/pooled_exchange.cpp
+++ b/src/http/pooled_exchange.cpp
@@ -368,8 +368,7 @@
         return;
     }
     ++pool_->totals.opened;
-    connection_ = std::make_shared<pooled_connection>(pool_->context());
-    connection_->server = server;
+    connection_ = pool_->open(server);
     start_timer(std::min(options_.connect_timeout, options_.timeout));
     connection_->socket.async_connect(
         server,
--- a/test/http/connection_pool_test.cpp
+++ b/test/http/connection_pool_test.cpp
@@ -216,3 +216,30 @@
     CHECK(out.failed);
     CHECK_FALSE(out.sent);
 }
+
+// Guards against idle connections to many servers that use up the descriptors
+// of the process.
+TEST_CASE("idle connections make room for new ones", "[http]")
+{
+    constexpr std::size_t max_connections = 3;
+    constexpr std::size_t server_count = 6;
+    // The servers end when the pool closes its connections.
+    std::vector<std::unique_ptr<scripted_server>> servers;
+    asio::io_context context;
+    connection_pool pool{context, server_count, nullptr, max_connections};
+    std::size_t ended = 0;
+    for (std::size_t n = 0; n < server_count; ++n)
+    {
+        servers.push_back(std::make_unique<scripted_server>(
+            std::vector<std::vector<std::string>>{
+                {response("a", "x"), response("a", "x")}}));
+        pooled_call_handlers handlers;
+        handlers.ended = [&] { ++ended; };
+        std::unique_ptr<pooled_call> const call = pool.call(
+            servers.back()->endpoint(), {"GET", "/", {}, ""}, {}, handlers);
+        while (ended <= n)
+            context.run_one();
+    }
+    CHECK(pool.totals().opened == server_count);
+    CHECK(pool.totals().evicted == server_count - max_connections);
+}
