Operators are told what callers hold and when limits refuse them

Once a second an entry sets gauges of the bytes held for callers and of their limit, counts connections rejected and evicted and requests shed or unreadable, and writes one line if there were any. Values in log lines are cut at 1024 bytes: ids and names come from callers, whose headers may have 16 KiB.

--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -11,6 +11,7 @@
 
 #include "admin_endpoint.hpp"
 #include "daemon_loop.hpp"
+#include "limit_report.hpp"
 #include "port_limits.hpp"
 #include "unreadable_request.hpp"
 
@@ -130,6 +131,7 @@
     void tick()
     {
         core_.on_tick(process_clock::now());
+        limits_.on_tick(process_clock::now());
         flush();
     }
 
@@ -266,6 +268,7 @@
     std::map<request_id, std::shared_ptr<http_exchange>> exchanges_;
     http_server callers_;
     admin_endpoint admin_;
+    limit_report limits_{callers_, *budget_, log_, metrics_};
     bool flushing_ = false;
 };
 
--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -13,6 +13,7 @@
 #include "admin_endpoint.hpp"
 #include "crash_exchange.hpp"
 #include "daemon_loop.hpp"
+#include "limit_report.hpp"
 #include "port_limits.hpp"
 #include "relay_exchanges.hpp"
 #include "state_exchange.hpp"
@@ -155,6 +156,7 @@
             traffic_written_at_ = now;
             link_.write_traffic(&log_);
         }
+        limits_.on_tick(now);
         if (now - settings_checked_at_ >= settings_check_interval)
         {
             settings_checked_at_ = now;
@@ -406,6 +408,7 @@
     state_exchange state_;
     crash_exchange crashes_;
     load_report_schedule load_reports_;
+    limit_report limits_{callers_, *budget_, log_, metrics_};
     time_point settings_checked_at_{};
     time_point traffic_written_at_{};
     time_point drain_began_at_{};
--- a/src/telemetry/event_log.cpp
+++ b/src/telemetry/event_log.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+/// Longer values come from peers, which choose ids and names.
+constexpr std::size_t max_value_size = 1024;
+
 bool needs_quotes(std::string_view value) noexcept
 {
     return value.empty() ||
@@ -52,6 +55,7 @@
     line_ += ' ';
     line_ += key;
     line_ += '=';
+    value = value.substr(0, max_value_size);
     if (needs_quotes(value))
         append_quoted(line_, value);
     else
