Numbers in the answers of a rank no longer end its agent

The decoder used the conversion that throws. Such an answer is an error with what was found and what was expected now, and counts as no answer, like a size of the group above 4096, a rank outside it, or a pace that is not positive: tables are sized by them. Reports of other agents are checked alike, and at most 64 samples of a rank's activations are kept, so that a flood of reports stays small.

The new case, with five numbers, ended the agent before; it passes now.

--- a/src/daemon/rank_agent_daemon.cpp
+++ b/src/daemon/rank_agent_daemon.cpp
@@ -17,6 +17,8 @@
 
 #include <boost/json/serialize.hpp>
 
+#include <cmath>
+
 namespace hornbeamweir
 {
 
@@ -337,8 +339,9 @@
 
     [[nodiscard]] bool is_plausible(wire::rank_report const& report) const
     {
-        return report.rank() < coordination_.ranks() &&
-               tcp_endpoint(report.address()).has_value();
+        return report.ranks() == coordination_.ranks() &&
+               report.rank() < report.ranks() && std::isfinite(report.pace()) &&
+               report.pace() > 0 && tcp_endpoint(report.address()).has_value();
     }
 
     // A new coordinator may have to release a pass, for which it needs the
--- a/src/expert_map/demand_window.cpp
+++ b/src/expert_map/demand_window.cpp
@@ -17,6 +17,8 @@
 constexpr duration window = milliseconds{1000};
 /// A part of the ranks reports in each bin, as each reports every 100 ms.
 constexpr duration bin_width = milliseconds{25};
+/// Samples kept for a rank; more than a rank reports within the window.
+constexpr std::size_t max_samples = 64;
 /// Bins of earlier activations to which newer ones are compared: the reports of
 /// all ranks.
 constexpr std::size_t compared_bins = 4;
@@ -81,6 +83,8 @@
         history.incarnation != counts.incarnation)
         history = {counts.epoch, counts.incarnation, {}};
     history.samples.push_back({now, counts.counts});
+    if (history.samples.size() > max_samples)
+        history.samples.pop_front();
     while (history.samples.size() > 2 &&
            now - history.samples[1].counted_at >= window)
         history.samples.pop_front();
