--- a/test/fuzz/mutation_test.cpp
+++ b/test/fuzz/mutation_test.cpp
@@ -3,14 +3,13 @@
 #include <hornbeamweir/settings/process_settings.hpp>
 
 #include "test/support/core_fixture.hpp"
+#include "test/support/mutation.hpp"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
 #include <catch2/catch.hpp>
 #include <google/protobuf/stubs/logging.h>
 
-#include <cstdlib>
-
 /// \file
 /// \brief Feeds seeded mutations of valid inputs to every parser of external
 /// input. The tests fail on a crash or a sanitizer report; CI runs them under
@@ -18,65 +17,11 @@
 /// HORNBEAMWEIR_FUZZ_ROUNDS the number of inputs for each test.
 
 using namespace hornbeamweir;
+using test::fuzz;
 
 namespace
 {
 
-std::uint64_t from_environment(char const* name, std::uint64_t default_value)
-{
-    char const* const value = std::getenv(name);
-    return value == nullptr ? default_value : std::strtoull(value, nullptr, 10);
-}
-
-std::uint64_t seed()
-{
-    return from_environment("HORNBEAMWEIR_FUZZ_SEED", 1);
-}
-std::uint64_t rounds()
-{
-    return from_environment("HORNBEAMWEIR_FUZZ_ROUNDS", 3000);
-}
-
-/// Applies one to four random edits: replaces, inserts, removes or duplicates
-/// bytes.
-std::string mutate(std::string text, random_source& random)
-{
-    std::uint64_t const changes = 1 + random.below(4);
-    for (std::uint64_t n = 0; n < changes; ++n)
-    {
-        std::size_t const at = random.below(text.size() + 1);
-        std::string const piece =
-            text.substr(random.below(text.size() + 1), random.below(20));
-        switch (random.below(4))
-        {
-        case 0:
-            text.insert(at, 1, static_cast<char>(random.below(256)));
-            break;
-        case 1:
-            text.erase(at, random.below(10));
-            break;
-        case 2:
-            text.insert(at, piece);
-            break;
-        default:
-            if (at < text.size())
-                text[at] = static_cast<char>(random.below(256));
-            break;
-        }
-    }
-    return text;
-}
-
-template <typename Use>
-void fuzz(std::vector<std::string> const& corpus, Use const& use)
-{
-    random_source random{seed()};
-    INFO("seed " << seed());
-    for (std::uint64_t n = 0; n < rounds(); ++n)
-        use(mutate(corpus[random.below(corpus.size())], random));
-    SUCCEED();
-}
-
 std::string const settings_text =
     "identity: {name: e1, data_centre: a, vm: v}\ncallers:\n"
     "  address: 127.0.0.1:8080\n  max_body_bytes: 4096\n"
