Less of a replica's answer is kept unparsed

192 KiB of each answer could be kept unparsed, which is 246 MB for as many calls as an entry on the smallest machine may have. It is 48 KiB now, with headers of 32 KiB, and each call counts 48 KiB in the budget.

--- a/src/http/pooled_connection.hpp
+++ b/src/http/pooled_connection.hpp
@@ -39,7 +39,7 @@
 
     /// Bytes that are kept until they are parsed; a server that sends a longer
     /// line, such as a chunk size without end, is not read further.
-    static constexpr std::size_t max_unparsed_bytes = std::size_t{192} * 1024;
+    static constexpr std::size_t max_unparsed_bytes = std::size_t{48} * 1024;
 
     boost::asio::ip::tcp::socket socket;
     boost::asio::ip::tcp::endpoint server;
--- a/src/http/pooled_exchange.cpp
+++ b/src/http/pooled_exchange.cpp
@@ -23,7 +23,7 @@
 namespace http = boost::beast::http;
 using tcp = boost::asio::ip::tcp;
 
-constexpr std::uint32_t max_header_bytes = 64 * 1024;
+constexpr std::uint32_t max_header_bytes = 32 * 1024;
 constexpr std::size_t read_size = 16 * 1024;
 /// A connection fails if sent bytes stay unacknowledged for this time: servers
 /// that lost power or are disconnected from the network send no reset.
@@ -35,7 +35,7 @@
 constexpr int max_informational = 8;
 /// What a call holds beside the request: the connection, and a part of the
 /// response.
-constexpr std::size_t call_bytes = std::size_t{32} * 1024;
+constexpr std::size_t call_bytes = std::size_t{48} * 1024;
 
 } // namespace
 
