Looking up a route costs no more than its longest prefix

A request whose path of 16 KiB consists of slashes made the entry copy and look up each of its 16,384 prefixes: 1.6 ms of processor time for a lookup, so that some hundred such requests a second stopped an entry with a part of a core. Prefixes that are longer than any of the host's routes are left out now.

--- a/include/hornbeamweir/routes/route_table.hpp
+++ b/include/hornbeamweir/routes/route_table.hpp
@@ -42,10 +42,16 @@
 
 private:
     route_configuration configuration_;
-    /// Indices into the routes, by host in lower case, then prefix.
-    std::
-        unordered_map<std::string, std::unordered_map<std::string, std::size_t>>
-            by_host_;
+    /// Routes of one host.
+    struct host_routes
+    {
+        /// Indices into the routes, by prefix.
+        std::unordered_map<std::string, std::size_t> by_prefix;
+        std::size_t longest_prefix = 0;
+    };
+
+    /// By host in lower case.
+    std::unordered_map<std::string, host_routes> by_host_;
 };
 
 } // namespace hornbeamweir
--- a/src/routes/route_table.cpp
+++ b/src/routes/route_table.cpp
@@ -38,24 +38,30 @@
     for (std::size_t n = 0; n < configuration_.routes.size(); ++n)
     {
         route const& it = configuration_.routes[n];
-        by_host_[lower_case(it.host)][it.prefix] = n;
+        host_routes& host = by_host_[lower_case(it.host)];
+        host.by_prefix[it.prefix] = n;
+        host.longest_prefix = std::max(host.longest_prefix, it.prefix.size());
     }
 }
 
 // Looks up each prefix of the path that ends with a slash, from the longest to
 // the shortest, so that the cost does not depend on the number of routes.
+// Longer ones than any route has are left out: callers choose the length of the
+// path.
 route const*
 route_table::find(std::string_view host, std::string_view target) const
 {
-    auto const by_prefix = by_host_.find(lower_case(without_port(host)));
-    if (by_prefix == by_host_.end())
+    auto const found = by_host_.find(lower_case(without_port(host)));
+    if (found == by_host_.end())
         return nullptr;
-    std::string_view path = target.substr(0, target.find('?'));
+    host_routes const& routes = found->second;
+    std::string_view const path =
+        target.substr(0, target.find('?')).substr(0, routes.longest_prefix);
     for (std::size_t slash = path.rfind('/'); slash != std::string_view::npos;)
     {
         auto const it =
-            by_prefix->second.find(std::string{path.substr(0, slash + 1)});
-        if (it != by_prefix->second.end())
+            routes.by_prefix.find(std::string{path.substr(0, slash + 1)});
+        if (it != routes.by_prefix.end())
             return &configuration_.routes[it->second];
         if (slash == 0)
             break;
--- a/test/routes/route_table_test.cpp
+++ b/test/routes/route_table_test.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <ctime>
+
 using namespace hornbeamweir;
 
 namespace
@@ -83,3 +86,26 @@
     CHECK(routes.staleness(start + second) == duration{});
     CHECK(routes.update(with_version(9), start + 2 * second));
 }
+
+// Guards against requests whose path of 16 KiB has a slash in each byte:
+// looking up each prefix of it took a hundred thousand times as long as usual.
+TEST_CASE("a path of slashes costs about as much as any other", "[routes]")
+{
+    constexpr std::size_t size = std::size_t{16} * 1024;
+    constexpr int lookups = 20;
+    constexpr std::clock_t max_ratio = 20;
+    route_configuration configuration;
+    configuration.routes = {make_route("a", "/x/")};
+    route_table const table{configuration};
+    auto const time_of = [&](std::string const& target)
+    {
+        std::clock_t const begin = std::clock();
+        for (int n = 0; n < lookups; ++n)
+            CHECK_FALSE(table.find("a", target));
+        return std::clock() - begin;
+    };
+    std::clock_t const usual = time_of("/" + std::string(size, 'y'));
+    CHECK(
+        time_of(std::string(size, '/')) <=
+        max_ratio * std::max<std::clock_t>(usual, 1));
+}
