Orders name no more recipients than the group has ranks

An agent passed an order on to as many recipients as fitted into a datagram, for anyone who reaches its port.

Found by reading; no test of its own. test-expert_map passes.

--- a/src/daemon/order_sender.cpp
+++ b/src/daemon/order_sender.cpp
@@ -115,6 +115,18 @@
 
 void order_sender::pass_on(wire::rank_order const& order)
 {
+    // A datagram could name thousands of recipients.
+    if (static_cast<std::uint32_t>(order.recipients_size()) >
+        coordination_.ranks())
+    {
+        event line{"order_not_passed_on"};
+        line.with("rank", order.rank())
+            .with("version", order.version())
+            .with("recipients", order.recipients_size())
+            .with("reason", "found more recipients than ranks");
+        log_.warning(line);
+        return;
+    }
     for (passed_on_order& it : orders_to_pass_on(order))
     {
         std::optional<boost::asio::ip::tcp::endpoint> const to =
