--- a/src/daemon/port_limits.cpp
+++ b/src/daemon/port_limits.cpp
@@ -23,4 +23,18 @@
     return std::min(max_connections, socket_limit(limits) / 2);
 }
 
+http_limits relayed_caller_limits(
+    caller_limits const& configured, machine_limits const& machine)
+{
+    http_limits limits;
+    limits.max_header_bytes = configured.max_header_bytes;
+    limits.send_buffer_bytes = caller_send_buffer_bytes;
+    limits.max_body_bytes = configured.max_body_bytes;
+    limits.max_connections = max_relayed_connections(machine);
+    limits.read_timeout = configured.header_timeout;
+    limits.first_request_timeout = configured.idle_timeout;
+    limits.idle_timeout = configured.idle_timeout;
+    return limits;
+}
+
 } // namespace hornbeamweir
--- a/src/daemon/port_limits.hpp
+++ b/src/daemon/port_limits.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hornbeamweir/http/http_server.hpp>
+#include <hornbeamweir/routes/route_configuration.hpp>
 #include <hornbeamweir/settings/machine_limits.hpp>
 
 namespace hornbeamweir
@@ -19,4 +20,9 @@
 [[nodiscard]] std::uint32_t
 max_relayed_connections(machine_limits const& limits);
 
+/// \brief Returns the limits of the callers' port of a relaying entry.
+/// \param configured From the configuration in force.
+[[nodiscard]] http_limits relayed_caller_limits(
+    caller_limits const& configured, machine_limits const& machine);
+
 } // namespace hornbeamweir
--- a/src/daemon/relay_daemon.cpp
+++ b/src/daemon/relay_daemon.cpp
@@ -42,20 +42,6 @@
 /// Time for the last responses to be sent.
 constexpr std::chrono::milliseconds linger{100};
 
-http_limits
-make_http_limits(caller_limits const& configured, machine_limits const& machine)
-{
-    http_limits limits;
-    limits.max_header_bytes = configured.max_header_bytes;
-    limits.send_buffer_bytes = caller_send_buffer_bytes;
-    limits.max_body_bytes = configured.max_body_bytes;
-    limits.max_connections = max_relayed_connections(machine);
-    limits.read_timeout = configured.header_timeout;
-    limits.first_request_timeout = configured.idle_timeout;
-    limits.idle_timeout = configured.idle_timeout;
-    return limits;
-}
-
 duration seconds_of(double value)
 {
     return std::chrono::duration_cast<duration>(
@@ -108,7 +94,7 @@
         , random_{system_seed()}
         , core_{make_core_settings(settings_, started_at_), log_, metrics_, random_source{random_.next()}}
         , exchanges_{loop_.context(), budget_, max_relayed_connections(settings_.limits), core_, codec_, suspend_aware_now, [this] { report_loads(); }}
-        , callers_{loop_.context(), settings_.callers_address, make_http_limits({}, settings_.limits), [this](std::shared_ptr<http_exchange> exchange, http_request_message request) { exchanges_.accept(std::move(exchange), std::move(request)); }, reject_unreadable_request, budget_}
+        , callers_{loop_.context(), settings_.callers_address, relayed_caller_limits({}, settings_.limits), [this](std::shared_ptr<http_exchange> exchange, http_request_message request) { exchanges_.accept(std::move(exchange), std::move(request)); }, reject_unreadable_request, budget_}
         , readiness_{loop_.context(), settings_.readiness_address, internal_port_limits(), [this](std::shared_ptr<http_exchange> exchange, http_request_message const& request) { handle_readiness_request(*exchange, request); }, reject_unreadable_request}
         , admin_{loop_.context(), settings_.metrics_address, metrics_, admin_pages{[this] { return ready(); }, [this] { return status(); }, {}}}
         , platform_{connect(loop_.context(), settings_.platform_address)}
@@ -183,7 +169,7 @@
     {
         std::uint64_t const version = next.version;
         http_limits const limits =
-            make_http_limits(next.limits, settings_.limits);
+            relayed_caller_limits(next.limits, settings_.limits);
         if (!core_.routes().update(std::move(next), as_of))
             return;
         callers_.set_limits(limits);
