A request that makes room does not write twice at once

Ending a connection while its 100 Continue was being written began a second write on a stream that takes one at a time; it is closed then. Requests that make room no longer count as unreadable as well.

Found by reading. test-http and the cases of bodies and descriptors pass.

--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -275,7 +275,8 @@
     shared_->waiting.erase(this);
     read_timer_.cancel();
     ++(code == result_code::memory_limit ? shared_->shed : shared_->evicted);
-    if (!has_received())
+    // The stream takes one write at a time.
+    if (!has_received() || sending_continue_)
     {
         close();
         return;
--- a/src/http/http_session.hpp
+++ b/src/http/http_session.hpp
@@ -152,6 +152,7 @@
     time_point reading_since_{};
     time_point last_received_at_{};
     bool head_taken_ = false;
+    bool sending_continue_ = false;
     unsigned version_ = 11;
     bool keep_alive_ = true;
     bool head_request_ = false;
--- a/src/http/http_session_reading.cpp
+++ b/src/http/http_session_reading.cpp
@@ -213,11 +213,13 @@
 void http_session::send_continue()
 {
     static constexpr std::string_view line = "HTTP/1.1 100 Continue\r\n\r\n";
+    sending_continue_ = true;
     boost::asio::async_write(
         stream_,
         boost::asio::buffer(line),
         [self = shared_from_this()](boost::system::error_code ec, std::size_t)
         {
+            self->sending_continue_ = false;
             if (self->phase_ != phase::reading)
                 return;
             if (ec)
@@ -244,7 +246,10 @@
             (code == result_code::request_timeout && no_request_begun))
             close();
         else
+        {
+            ++shared_->malformed;
             reject(code);
+        }
         return;
     }
     dispatch_request();
@@ -252,7 +257,6 @@
 
 void http_session::reject(result_code code)
 {
-    ++shared_->malformed;
     phase_ = phase::responding;
     keep_alive_ = false;
     shared_->write_error(*this, code);
