Calls to a backend server wait for a descriptor

Idle connections to the message port of an agent could use up its descriptors until their handshake timed out after 5 s. Requests for its backend server then failed with 503 ("Too many open files"), and a probe that could not be opened reported the backend server as down.

A call that finds no descriptor tries again every 50 ms until its deadline, and such a probe says nothing. A peer that connects again and again still keeps the descriptors: ZeroMQ accepts without a bound (SECURITY.md, open).

--- a/src/daemon/agent_daemon.cpp
+++ b/src/daemon/agent_daemon.cpp
@@ -179,7 +179,14 @@
         handlers.data = [this](std::string const& bytes)
         { probe_body_ += bytes; };
         handlers.ended = [this] { on_probed(probe_status_ == http_ok); };
-        handlers.failed = [this](error const&, bool) { on_probed(false); };
+        // Without a descriptor the probe says nothing of the backend server.
+        handlers.failed = [this](error const& reason, bool)
+        {
+            if (reason.code == result_code::connection_limit)
+                probe_.reset();
+            else
+                on_probed(false);
+        };
         probe_ = std::make_unique<backend_call>(
             loop_.context(),
             backend_,
--- a/src/http/backend_call.cpp
+++ b/src/http/backend_call.cpp
@@ -1,6 +1,7 @@
 #include <hornbeamweir/http/backend_call.hpp>
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -22,6 +23,9 @@
 constexpr std::size_t max_unparsed_bytes = std::size_t{192} * 1024;
 /// Maximum number of informational responses before the final one.
 constexpr int max_informational = 8;
+/// Pause after no connection could be opened, as the process has no descriptor
+/// left.
+constexpr duration connect_pause = std::chrono::milliseconds{50};
 
 http::request<http::string_body> make_request(http_request_message message)
 {
@@ -55,6 +59,7 @@
         http_request_message message,
         backend_call_handlers handlers)
         : stream_{context}
+        , connect_timer_{context}
         , handlers_{std::move(handlers)}
         , request_{make_request(std::move(message))}
     {
@@ -62,16 +67,10 @@
 
     void start(asio::ip::tcp::endpoint const& endpoint, duration timeout)
     {
+        server_ = endpoint;
+        deadline_ = process_clock::now() + timeout;
         stream_.expires_after(timeout);
-        stream_.async_connect(
-            endpoint,
-            [self = shared_from_this()](boost::system::error_code ec)
-            {
-                if (ec)
-                    self->fail(result_code::backend_unreachable, ec, false);
-                else
-                    self->send();
-            });
+        connect();
     }
 
     void grant_credit(std::size_t bytes)
@@ -84,11 +83,45 @@
     void close()
     {
         closed_ = true;
+        connect_timer_.cancel();
         handlers_ = {};
         stream_.close();
     }
 
 private:
+    void connect()
+    {
+        stream_.async_connect(
+            server_,
+            [self = shared_from_this()](boost::system::error_code ec)
+            {
+                if (self->closed_)
+                    return;
+                if (ec == asio::error::no_descriptors &&
+                    process_clock::now() + connect_pause < self->deadline_)
+                    self->connect_later();
+                else if (ec == asio::error::no_descriptors)
+                    self->fail(result_code::connection_limit, ec, false);
+                else if (ec)
+                    self->fail(result_code::backend_unreachable, ec, false);
+                else
+                    self->send();
+            });
+    }
+
+    // Connections of others that use up the descriptors end soon, as they must
+    // prove themselves.
+    void connect_later()
+    {
+        connect_timer_.expires_after(connect_pause);
+        connect_timer_.async_wait(
+            [self = shared_from_this()](boost::system::error_code ec)
+            {
+                if (!ec && !self->closed_)
+                    self->connect();
+            });
+    }
+
     void send()
     {
         http::async_write(
@@ -217,6 +250,9 @@
     }
 
     beast::tcp_stream stream_;
+    asio::steady_timer connect_timer_;
+    asio::ip::tcp::endpoint server_;
+    time_point deadline_{};
     backend_call_handlers handlers_;
     http::request<http::string_body> request_;
     std::optional<http::response_parser<http::buffer_body>> parser_;
