Read sizes of bodies from the announced length

GCC took an optional of the parser for uninitialized in the build with sanitizers, which treats warnings as errors. The size of the next read follows from the announced length and what was received now; test-http and the cases of bodies pass, and the file builds with sanitizers.

--- a/src/http/http_session_reading.cpp
+++ b/src/http/http_session_reading.cpp
@@ -103,9 +103,13 @@
     constexpr std::size_t min_read = 512;
     constexpr std::size_t max_read = std::size_t{16} * 1024;
     std::size_t const room = buffer_.max_size() - buffer_.size();
-    std::size_t const expected =
-        head_taken_ ? parser_->content_length_remaining().value_or(max_read)
-                    : std::max(min_read, buffer_.capacity() - buffer_.size());
+    std::size_t expected = buffer_.capacity() - buffer_.size();
+    if (head_taken_)
+    {
+        std::size_t const announced = parser_->content_length().value_or(0);
+        std::size_t const received = parser_->get().body().size();
+        expected = announced > received ? announced - received : max_read;
+    }
     return std::min(room, std::clamp(expected, min_read, max_read));
 }
 
