--- a/test/limits/deployment_limits_test.cpp
+++ b/test/limits/deployment_limits_test.cpp
@@ -1,5 +1,5 @@
+#include "bounded_deployment.hpp"
 #include "test/support/crowd.hpp"
-#include "test/support/deployment.hpp"
 #include "test/support/flood_server.hpp"
 
 #include <catch2/catch.hpp>
@@ -14,20 +14,6 @@
 namespace
 {
 
-constexpr std::size_t megabyte = 1'000'000;
-constexpr std::size_t memory_mb = 96;
-constexpr std::size_t low_descriptors = 256;
-constexpr std::size_t over_descriptors = 300;
-constexpr char const* completions = "/v1/chat/completions";
-constexpr char const* entry = "entry-0";
-constexpr char const* agent = "agent-badges-0";
-
-std::string request_head(std::string const& target)
-{
-    return "POST " + target + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " +
-           deployment::token + "\r\n";
-}
-
 crowd_script body(std::size_t size, std::size_t sent)
 {
     std::string head = request_head(completions) +
@@ -51,49 +37,6 @@
     return {"", "", 0};
 }
 
-/// \brief A small deployment whose processes have little memory.
-struct bounded_deployment
-{
-    explicit bounded_deployment(std::size_t max_descriptors = 0)
-        : system{sizes_with(max_descriptors)}
-    {
-        system.apply_first_note();
-    }
-
-    static deployment::sizes sizes_with(std::size_t max_descriptors)
-    {
-        deployment::sizes out{1, 1, 1, 5};
-        constexpr int long_timeout_ms = 120'000;
-        out.read_timeout_ms = long_timeout_ms;
-        out.more_settings =
-            "limits: {memory_mb: " + std::to_string(memory_mb) + "}\n";
-        out.max_descriptors = max_descriptors;
-        return out;
-    }
-
-    /// \brief Asks a rank and a service, and checks the bounds of a process.
-    void check_serves(char const* process)
-    {
-        CHECK(
-            system
-                .call(
-                    0,
-                    "POST",
-                    completions,
-                    R"({"model":"stroke-coach","max_tokens":2})")
-                .status == 200);
-        CHECK(
-            system.call(0, "POST", "/services/badges/award", "{}").status ==
-            200);
-        REQUIRE(system.process(process).is_alive());
-        CHECK(
-            system.process(process).peak_resident_bytes() / megabyte <=
-            memory_mb);
-    }
-
-    deployment system;
-};
-
 } // namespace
 
 TEST_CASE("own entry callers: trailers without end")
--- a/test/support/deployment.cpp
+++ b/test/support/deployment.cpp
@@ -344,4 +344,14 @@
     return servers_.at(id).agent.keys.public_key;
 }
 
+int deployment::entry_message_port(int n) const
+{
+    return entries_.at(static_cast<std::size_t>(n)).messages;
+}
+
+hornbeamweir::curve_keys deployment::entry_keys(int n) const
+{
+    return entries_.at(static_cast<std::size_t>(n)).keys;
+}
+
 } // namespace test
--- a/test/support/deployment.hpp
+++ b/test/support/deployment.hpp
@@ -74,6 +74,8 @@
     [[nodiscard]] int backend_port(std::string const& id) const;
     [[nodiscard]] int message_port(std::string const& id) const;
     [[nodiscard]] std::string message_key(std::string const& id) const;
+    [[nodiscard]] int entry_message_port(int n) const;
+    [[nodiscard]] hornbeamweir::curve_keys entry_keys(int n) const;
     [[nodiscard]] int platform_port() const noexcept { return platform_port_; }
     [[nodiscard]] std::string
     first_note(std::string const& limits = "", int customers = 2) const;
