Receive buffers of callers' connections are small

Bytes that are received and not read count as memory of the process, and no limit of the process saw them.

Cause: only the send buffer of a caller's connection had a size. The listener now sets the receive buffer to 32 KiB, which accepted sockets inherit before they announce a window, so that a caller waits once it is full. A body arrives with one round trip for each buffer.

--- a/include/hornbeamweir/http/http_server.hpp
+++ b/include/hornbeamweir/http/http_server.hpp
@@ -24,6 +24,10 @@
     /// Size of the kernel's send buffer of a connection, which callers that
     /// read nothing can fill; 0 for the system's default.
     std::uint32_t send_buffer_bytes = 0;
+    /// Size of the kernel's receive buffer of a connection, which callers fill
+    /// that send requests ahead of answers; 0 for the system's default. Applies
+    /// to the server's lifetime.
+    std::uint32_t receive_buffer_bytes = 0;
     /// Time limit for reading a body after its header, and for each write.
     duration read_timeout = std::chrono::seconds{10};
     /// Time limit for reading the first header of a new connection.
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -30,6 +30,7 @@
     http_limits limits;
     limits.max_header_bytes = settings.max_header_bytes;
     limits.send_buffer_bytes = caller_send_buffer_bytes;
+    limits.receive_buffer_bytes = caller_receive_buffer_bytes;
     limits.max_body_bytes = settings.max_body_bytes;
     limits.max_connections =
         std::min(settings.max_connections, socket_limit(machine));
--- a/src/daemon/port_limits.cpp
+++ b/src/daemon/port_limits.cpp
@@ -29,6 +29,7 @@
     http_limits limits;
     limits.max_header_bytes = configured.max_header_bytes;
     limits.send_buffer_bytes = caller_send_buffer_bytes;
+    limits.receive_buffer_bytes = caller_receive_buffer_bytes;
     limits.max_body_bytes = configured.max_body_bytes;
     limits.max_connections = max_relayed_connections(machine);
     limits.read_timeout = configured.header_timeout;
--- a/src/daemon/port_limits.hpp
+++ b/src/daemon/port_limits.hpp
@@ -15,6 +15,10 @@
 /// a plain answer.
 constexpr std::uint32_t caller_send_buffer_bytes = 32 * 1024;
 
+/// Receive buffer of a caller's connection: a request of usual size. A larger
+/// body takes a round trip for each buffer.
+constexpr std::uint32_t caller_receive_buffer_bytes = 32 * 1024;
+
 /// \brief Returns how many connections of callers fit if each may need another
 /// one, to a backend server.
 [[nodiscard]] std::uint32_t
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -51,6 +51,15 @@
         shared_->handler = std::move(handler);
         shared_->write_error = std::move(write_error);
         shared_->budget = std::move(budget);
+        // Accepted sockets inherit the size, before their first window is sent.
+        boost::system::error_code ignored;
+        if (limits.receive_buffer_bytes > 0)
+        {
+            acceptor_.set_option(
+                asio::socket_base::receive_buffer_size{
+                    static_cast<int>(limits.receive_buffer_bytes)},
+                ignored);
+        }
     }
 
     void accept()
