Connections to the message port make room for others

Cause: ZeroMQ accepts as many connections as there are descriptors, and has no limit of its own. Its events tell of each accepted connection, and each received message of the connection that delivered it. A descriptor is only shut down if it still is a connection of the message port.

The admin page counts messages.evicted.

--- a/include/hornbeamweir/settings/machine_limits.hpp
+++ b/include/hornbeamweir/settings/machine_limits.hpp
@@ -18,6 +18,16 @@
     operator==(machine_limits const&, machine_limits const&) = default;
 };
 
+/// \brief Limits of the port for messages of other processes.
+struct message_limits
+{
+    /// Connections, of which those without a message make room for others.
+    std::size_t max_connections = 2048;
+};
+
+/// \brief Returns limits that leave descriptors for callers.
+[[nodiscard]] message_limits make_message_limits(machine_limits const& limits);
+
 /// \brief Returns how many bytes may be held for peers: what they have sent
 /// and is not processed yet, and what they have not read.
 [[nodiscard]] std::size_t held_bytes_limit(machine_limits const& limits);
--- a/include/hornbeamweir/transport/message_socket.hpp
+++ b/include/hornbeamweir/transport/message_socket.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <hornbeamweir/settings/process_settings.hpp>
+#include <hornbeamweir/transport/connection_limiter.hpp>
 #include <hornbeamweir/transport/curve_authenticator.hpp>
 #include <hornbeamweir/transport/peer.hpp>
 #include <hornbeamweir/transport/zmq_endpoint.hpp>
@@ -29,6 +30,8 @@
         std::uint64_t undecodable = 0;
         std::uint64_t unsendable = 0;
         std::uint64_t refused = 0;
+        /// Connections without a message that were ended to make room.
+        std::uint64_t evicted = 0;
     };
 
     /// \param incarnation Random number that identifies this run of the
@@ -38,7 +41,8 @@
         message_settings const& settings,
         process_name name,
         std::uint64_t incarnation,
-        handler received);
+        handler received,
+        message_limits const& limits = {});
     message_socket(message_socket const&) = delete;
     message_socket& operator=(message_socket const&) = delete;
     ~message_socket();
@@ -67,7 +71,9 @@
     void on_frames(peer_side side, zmq_endpoint::frames parts);
     [[nodiscard]] zmq::socket_t make_router();
 
+    boost::asio::io_context& context_;
     message_settings settings_;
+    message_limits limits_;
     process_name name_;
     std::uint64_t incarnation_;
     handler received_;
@@ -76,6 +82,7 @@
     curve_authenticator authenticator_;
     std::shared_ptr<zmq_endpoint> listener_;
     std::shared_ptr<zmq_endpoint> dialler_;
+    std::unique_ptr<connection_limiter> limiter_;
     std::map<std::string, std::string> dialled_;
 };
 
--- a/src/daemon/admin_endpoint.cpp
+++ b/src/daemon/admin_endpoint.cpp
@@ -78,6 +78,7 @@
     out["undecodable"] = totals.undecodable;
     out["unsendable"] = totals.unsendable;
     out["refused"] = totals.refused;
+    out["evicted"] = totals.evicted;
     return out;
 }
 
--- a/src/daemon/agent_daemon.cpp
+++ b/src/daemon/agent_daemon.cpp
@@ -43,7 +43,8 @@
               {
                   core_.on_message(from, message, process_clock::now());
                   flush();
-              }}
+              },
+              make_message_limits(settings_.limits)}
         , expert_maps_{loop_.context(), settings_, log_, metrics_}
         , admin_{
               loop_.context(),
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -54,7 +54,7 @@
         , platform_{loop_.context(), settings_.platform.addresses, std::chrono::milliseconds{settings_.platform.timeout_ms}}
         , watcher_{loop_.context(), platform_, [this](configuration_head const& head) { core_.on_platform_head(head, process_clock::now()); flush(); }}
         , vms_{loop_.context(), platform_, [this](vm_list const& list) { core_.on_vm_list(list); flush(); }}
-        , messages_{loop_.context(), settings_.messages, settings_.identity.name, incarnation_, [this](peer const& from, wire::envelope const& message) { core_.on_message(from, message, process_clock::now()); flush(); }}
+        , messages_{loop_.context(), settings_.messages, settings_.identity.name, incarnation_, [this](peer const& from, wire::envelope const& message) { core_.on_message(from, message, process_clock::now()); flush(); }, make_message_limits(settings_.limits)}
         , callers_{loop_.context(), settings_.callers.address, make_http_limits(settings_.callers, settings_.limits), [this](std::shared_ptr<http_exchange> exchange, http_request_message request) { on_request(std::move(exchange), std::move(request)); }, reject_unreadable_request, budget_}
         , admin_{loop_.context(), settings_.admin_address, metrics_, make_admin_pages()}
     {
--- a/src/settings/machine_limits.cpp
+++ b/src/settings/machine_limits.cpp
@@ -28,6 +28,14 @@
         limits.memory_mb * bytes_per_megabyte * held_share);
 }
 
+message_limits make_message_limits(machine_limits const& limits)
+{
+    message_limits out;
+    out.max_connections =
+        std::min<std::size_t>(out.max_connections, socket_limit(limits) / 2);
+    return out;
+}
+
 std::uint32_t socket_limit(machine_limits const& limits)
 {
     double descriptors = limits.descriptors;
--- a/src/transport/message_socket.cpp
+++ b/src/transport/message_socket.cpp
@@ -1,3 +1,4 @@
+#include <hornbeamweir/core/socket_address.hpp>
 #include <hornbeamweir/transport/message_socket.hpp>
 
 #include <google/protobuf/stubs/logging.h>
@@ -26,8 +27,11 @@
     message_settings const& settings,
     process_name name,
     std::uint64_t incarnation,
-    handler received)
-    : settings_{settings}
+    handler received,
+    message_limits const& limits)
+    : context_{context}
+    , settings_{settings}
+    , limits_{limits}
     , name_{std::move(name)}
     , incarnation_{incarnation}
     , received_{std::move(received)}
@@ -41,7 +45,11 @@
         context,
         make_router(),
         [this](zmq_endpoint::frames parts)
-        { on_frames(peer_side::accepted, std::move(parts)); });
+        {
+            if (limiter_)
+                limiter_->on_message(parts.back());
+            on_frames(peer_side::accepted, std::move(parts));
+        });
     dialler_ = std::make_shared<zmq_endpoint>(
         context,
         make_router(),
@@ -51,6 +59,7 @@
 
 message_socket::~message_socket()
 {
+    limiter_.reset();
     listener_->stop();
     dialler_->stop();
 }
@@ -79,6 +88,14 @@
 void message_socket::listen()
 {
     zmq::socket_t& socket = listener_->socket();
+    std::optional<boost::asio::ip::tcp::endpoint> const address =
+        tcp_endpoint(settings_.address);
+    limiter_ = std::make_unique<connection_limiter>(
+        context_,
+        zmq_context_,
+        socket,
+        address ? address->port() : 0,
+        limits_.max_connections);
     socket.set(zmq::sockopt::curve_server, true);
     socket.bind("tcp://" + settings_.address);
     listener_->start();
@@ -166,6 +183,7 @@
 {
     counters totals = counters_;
     totals.refused = authenticator_.rejected();
+    totals.evicted = limiter_ ? limiter_->ended() : 0;
     return totals;
 }
 
