The size of messages follows from the memory

Cause: one size for all processes, chosen for the largest body that a setting permits. Messages are now limited to half of the bytes that may be held, as each is held twice while it is decoded; a larger one ends its connection.

--- a/include/hornbeamweir/settings/machine_limits.hpp
+++ b/include/hornbeamweir/settings/machine_limits.hpp
@@ -23,9 +23,11 @@
 {
     /// Connections, of which those without a message make room for others.
     std::size_t max_connections = 2048;
+    /// Larger messages end their connection.
+    std::size_t max_message_bytes = std::size_t{72} * 1024 * 1024;
 };
 
-/// \brief Returns limits that leave descriptors for callers.
+/// \brief Returns limits that leave descriptors and memory for callers.
 [[nodiscard]] message_limits make_message_limits(machine_limits const& limits);
 
 /// \brief Returns how many bytes may be held for peers: what they have sent
--- a/src/settings/machine_limits.cpp
+++ b/src/settings/machine_limits.cpp
@@ -28,11 +28,16 @@
         limits.memory_mb * bytes_per_megabyte * held_share);
 }
 
+// A message is held twice while it is decoded. Bodies take less than half of
+// the limit for held bytes, so that a message with a permitted body fits where
+// entries and agents have the same memory.
 message_limits make_message_limits(machine_limits const& limits)
 {
     message_limits out;
     out.max_connections =
         std::min<std::size_t>(out.max_connections, socket_limit(limits) / 2);
+    out.max_message_bytes =
+        std::min(out.max_message_bytes, held_bytes_limit(limits) / 2);
     return out;
 }
 
--- a/src/transport/message_socket.cpp
+++ b/src/transport/message_socket.cpp
@@ -14,7 +14,6 @@
 constexpr int io_threads = 1;
 constexpr int queue_length = 10'000;
 constexpr int linger_ms = 500;
-constexpr int max_message_bytes = 72 * 1024 * 1024;
 constexpr int handshake_timeout_ms = 5'000;
 constexpr int reconnect_ms = 50;
 constexpr int reconnect_max_ms = 1'000;
@@ -71,7 +70,8 @@
     socket.set(zmq::sockopt::sndhwm, queue_length);
     socket.set(zmq::sockopt::rcvhwm, queue_length);
     socket.set(
-        zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(max_message_bytes));
+        zmq::sockopt::maxmsgsize,
+        static_cast<std::int64_t>(limits_.max_message_bytes));
     socket.set(zmq::sockopt::handshake_ivl, handshake_timeout_ms);
     socket.set(zmq::sockopt::reconnect_ivl, reconnect_ms);
     socket.set(zmq::sockopt::reconnect_ivl_max, reconnect_max_ms);
