Answers that are being recorded have a limit

Cause: the call for a claimed request could read 4 MiB without credit of an entry, so that its answer is recorded for repeats, and nothing limited how many did. The call now reads 64 KiB ahead of what is recorded. A fault found on the way: credit that was granted while received data was handed over began a second read of the same connection (535 MB in that state).

By reading: an answer of more than 4 MiB to a request with a key was never read to its end; now it is sent, and not recorded.

--- a/include/hornbeamweir/agent/agent_core.hpp
+++ b/include/hornbeamweir/agent/agent_core.hpp
@@ -89,6 +89,8 @@
         std::uint64_t granted_bytes = 0;
     };
 
+    using execution_map = std::map<call_number, execution>;
+
     struct entry_contact
     {
         /// Time of the last message from the entry.
@@ -131,6 +133,15 @@
     /// \brief Discards sent data of an answer that has no claim, and grants the
     /// call further credit.
     void discard_sent_data(execution& target);
+    /// \brief Allows a call to read up to a position of its response.
+    void grant_up_to(execution& target, std::uint64_t limit);
+    /// \brief Counts data that was added to the answer of a claim, and grants
+    /// the call further credit while it may be recorded.
+    void record(execution& target, std::size_t bytes);
+    /// \brief Goes on as if the request had no claim: the answer is sent, but
+    /// not replayed.
+    void stop_recording(execution& target);
+    execution_map::iterator remove_execution(execution_map::iterator it);
     /// \brief Removes attempts, entries and executions that are out of date.
     void remove_expired(time_point now);
     /// \brief Evicts the oldest recorded answers beyond retention_bytes.
@@ -154,7 +165,7 @@
     event_log& log_;
     metrics_registry& metrics_;
     configuration_relay configuration_;
-    std::map<call_number, execution> executions_;
+    execution_map executions_;
     std::map<std::string, call_number> claims_;
     claim_guard guard_;
     attempt_filter attempts_;
@@ -163,7 +174,11 @@
     call_number next_call_ = 1;
     wire::load_report load_;
     time_point last_probe_{};
+    /// Data of the answers to claims, and of all answers.
     std::uint64_t recorded_bytes_ = 0;
+    std::uint64_t held_bytes_ = 0;
+    /// Above it, no further data of an answer is recorded.
+    std::uint64_t max_held_bytes_;
     bool draining_ = false;
     /// Whether the configuration marks the backend server as draining.
     bool configured_draining_ = false;
--- a/src/agent/agent_claims.cpp
+++ b/src/agent/agent_claims.cpp
@@ -61,9 +61,7 @@
             ++it;
             continue;
         }
-        recorded_bytes_ -= run.answer.data.size();
-        claims_.erase(run.claim);
-        it = executions_.erase(it);
+        it = remove_execution(it);
     }
 }
 
--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -64,6 +64,8 @@
     , metrics_{metrics}
     , configuration_{false, make_part_filter(settings_.backend_server)}
     , guard_{max_tracked_claims}
+    , max_held_bytes_{std::max<std::uint64_t>(
+          settings_.retention_bytes, held_bytes_limit(settings_.limits) / 2)}
 {
 }
 
@@ -284,11 +286,21 @@
             ++it;
             continue;
         }
-        if (!run.claim.empty())
-            claims_.erase(run.claim);
+        it = remove_execution(it);
+    }
+}
+
+agent_core::execution_map::iterator
+agent_core::remove_execution(execution_map::iterator it)
+{
+    execution const& run = it->second;
+    held_bytes_ -= run.answer.data.size();
+    if (!run.claim.empty())
+    {
         recorded_bytes_ -= run.answer.data.size();
-        it = executions_.erase(it);
+        claims_.erase(run.claim);
     }
+    return executions_.erase(it);
 }
 
 boost::json::object agent_core::status() const
@@ -301,6 +313,7 @@
     out["revision"] = configuration_.current()->revision();
     out["running"] = running_calls();
     out["recorded_bytes"] = recorded_bytes_;
+    out["held_bytes"] = held_bytes_;
     return out;
 }
 
--- a/src/agent/agent_execution.cpp
+++ b/src/agent/agent_execution.cpp
@@ -15,6 +15,8 @@
 /// Bytes of a response that a call may read without credit from an entry; a
 /// longer response is not read further.
 constexpr std::size_t max_uncredited_bytes = 4 * 1024 * 1024;
+/// Bytes that a call may read beyond what is recorded of its response.
+constexpr std::size_t recording_window = 64 * 1024;
 
 http_request_message to_message(wire::execute const& request)
 {
@@ -172,7 +174,9 @@
     // The response to a claimed request is read and recorded even if the entry
     // grants no credit.
     action.initial_credit =
-        run.claim.empty() ? request.credit_bytes() : max_uncredited_bytes;
+        run.claim.empty()
+            ? request.credit_bytes()
+            : std::max<std::size_t>(request.credit_bytes(), recording_window);
     run.granted_bytes = action.initial_credit;
     actions_.emplace_back(std::move(action));
     metrics_.count("hornbeamweir_agent_executions_total", {});
@@ -207,25 +211,33 @@
     discard_sent_data(target);
 }
 
-// The answer to a request without a claim is never replayed, so data is
-// discarded once sent, and the call may read as much as the stream has sent and
-// may still send.
+// An answer that is not recorded is never replayed, so data is discarded once
+// all streams have sent it, and the call may read as much as the slowest stream
+// has sent and may still send.
 void agent_core::discard_sent_data(execution& target)
 {
     if (!target.claim.empty() || target.streams.empty())
         return;
-    answer_stream const& stream = target.streams.front();
+    auto const slowest = std::min_element(
+        target.streams.begin(),
+        target.streams.end(),
+        [](answer_stream const& a, answer_stream const& b)
+        { return a.position() < b.position(); });
     received_answer& answer = target.answer;
-    std::uint64_t const sent = stream.position() - answer.data_offset;
+    std::uint64_t const sent = slowest->position() - answer.data_offset;
     answer.data.erase(0, sent);
-    answer.data_offset = stream.position();
-    std::uint64_t const limit = stream.position() + stream.credit();
-    if (target.running && limit > target.granted_bytes)
-    {
-        actions_.emplace_back(
-            grant_call_credit{target.call, limit - target.granted_bytes});
-        target.granted_bytes = limit;
-    }
+    answer.data_offset = slowest->position();
+    held_bytes_ -= sent;
+    grant_up_to(target, slowest->position() + slowest->credit());
+}
+
+void agent_core::grant_up_to(execution& target, std::uint64_t limit)
+{
+    if (!target.running || limit <= target.granted_bytes)
+        return;
+    actions_.emplace_back(
+        grant_call_credit{target.call, limit - target.granted_bytes});
+    target.granted_bytes = limit;
 }
 
 void agent_core::on_credit(peer const& from, wire::credit const& message)
@@ -270,6 +282,7 @@
     }
     if (target.claim.empty())
     {
+        held_bytes_ -= target.answer.data.size();
         target.answer.data.clear();
         actions_.emplace_back(
             grant_call_credit{target.call, max_uncredited_bytes});
@@ -313,12 +326,42 @@
         return;
     if (run->claim.empty() && run->streams.empty())
         return;
-    if (!run->claim.empty())
-        recorded_bytes_ += bytes.size();
     run->answer.data += bytes;
+    held_bytes_ += bytes.size();
+    if (!run->claim.empty())
+        record(*run, bytes.size());
     send_ready_frames(*run);
 }
 
+void agent_core::record(execution& target, std::size_t bytes)
+{
+    recorded_bytes_ += bytes;
+    if (held_bytes_ > max_held_bytes_)
+        evict_excess_answers();
+    bool const fits = held_bytes_ <= max_held_bytes_ &&
+                      target.answer.data.size() <= max_uncredited_bytes;
+    if (fits)
+        grant_up_to(target, target.answer.size() + recording_window);
+    else
+        stop_recording(target);
+}
+
+// The guard still counts the claim as executed, so that later attempts are
+// told that the request may have run.
+void agent_core::stop_recording(execution& target)
+{
+    metrics_.count("hornbeamweir_agent_answers_not_recorded_total", {});
+    log_.warning(event{"answer_not_recorded"}
+                     .with("request", target.request_id)
+                     .with("bytes", target.answer.data.size())
+                     .with("held_bytes", held_bytes_)
+                     .with("limit", max_held_bytes_));
+    recorded_bytes_ -= target.answer.data.size();
+    claims_.erase(target.claim);
+    target.claim.clear();
+    cancel_if_detached(target);
+}
+
 void agent_core::on_call_ended(call_number call, time_point now)
 {
     execution* const run = find_call(call);
--- a/src/http/backend_call.cpp
+++ b/src/http/backend_call.cpp
@@ -183,7 +183,9 @@
             }
         }
         head_done_ = true;
+        reading_ = true;
         handlers_.head(parser_->get().result_int(), std::move(headers));
+        reading_ = false;
         if (!closed_)
             read_some();
     }
@@ -210,9 +212,9 @@
             { self->on_data(ec); });
     }
 
+    // Handlers may grant credit, which must not start a second read.
     void on_data(boost::system::error_code ec)
     {
-        reading_ = false;
         if (closed_)
             return;
         if (ec == http::error::need_buffer)
@@ -228,6 +230,7 @@
             credit_ -= n;
             handlers_.data(chunk_.substr(0, n));
         }
+        reading_ = false;
         if (!closed_)
             read_some();
     }
--- a/test/idempotency/agent_claims_test.cpp
+++ b/test/idempotency/agent_claims_test.cpp
@@ -151,6 +151,29 @@
     CHECK(agent.execute({"d", "key-2", 6, 1, true}).frames > 1);
 }
 
+// Guards against answers whose recording needs more memory than there is, and
+// against callers that never get the rest of such an answer.
+TEST_CASE(
+    "an answer that is too large to record is delivered, and not replayed")
+{
+    constexpr std::size_t size = 5 * 1024 * 1024;
+    constexpr std::uint32_t credit = 2 * size;
+    agent_fixture it;
+    CHECK(it.execute({"r1", "c1", 5}).calls == 1);
+    it.core().on_call_head(1, 200, {});
+    it.core().on_call_data(1, std::string(size, 'x'));
+    CHECK(it.core().status().at("recorded_bytes") == 0);
+    wire::envelope message;
+    message.mutable_credit()->set_request_id("r1");
+    message.mutable_credit()->set_attempt(1);
+    message.mutable_credit()->set_bytes(credit);
+    it.core().on_message({peer_side::accepted, "entry"}, message, noon);
+    CHECK(it.core().status().at("held_bytes") == 0);
+    it.core().on_call_ended(1, noon);
+    static_cast<void>(it.take_outcome());
+    CHECK(may_have_run(it.execute({"r2", "c1", 5})));
+}
+
 TEST_CASE("an answer is kept for the retention period")
 {
     // One hour by default.
