Records of answers count their headers and attempts

The bound on recorded answers, retention_bytes, counted the data of the answers only. Headers of up to 64 KiB each and empty answers counted nothing and stayed for an hour, and each repeat of a key added the id of its request to the record of that key, without a limit.

Found by reading. Records now count 1 KiB, their ids and their headers, a tenth of the memory together, beyond which the oldest go; of the attempts of a claim, the latest 64 are recognized when they arrive again. Frames of earlier ones that are sent twice do no harm, as their entry has the answer.

The fixture's agent has the smallest memory that settings permit.

--- a/include/hornbeamweir/agent/agent_core.hpp
+++ b/include/hornbeamweir/agent/agent_core.hpp
@@ -11,6 +11,7 @@
 
 #include <boost/json/object.hpp>
 
+#include <deque>
 #include <list>
 #include <map>
 #include <set>
@@ -82,8 +83,10 @@
         received_answer answer;
         /// One per attached attempt whose answer is not yet complete.
         std::list<answer_stream> streams;
-        /// Attempts that were attached before; duplicates are not answered.
-        std::set<std::pair<std::string, std::uint32_t>> attached_attempts;
+        /// The latest attempts that were attached; duplicates are not answered.
+        std::deque<std::pair<std::string, std::uint32_t>> attached_attempts;
+        /// Bytes of the record beside the data of the answer.
+        std::uint64_t overhead_bytes = 0;
         time_point ended_at{};
         /// Bytes of the response body that the call may read in total.
         std::uint64_t granted_bytes = 0;
@@ -141,10 +144,14 @@
     /// \brief Goes on as if the request had no claim: the answer is sent, but
     /// not replayed.
     void stop_recording(execution& target);
+    /// \returns False if the attempt was attached before.
+    [[nodiscard]] static bool
+    remember_attempt(execution& target, wire::execute const& request);
+    void add_overhead(execution& target, std::uint64_t bytes) noexcept;
     execution_map::iterator remove_execution(execution_map::iterator it);
     /// \brief Removes attempts, entries and executions that are out of date.
     void remove_expired(time_point now);
-    /// \brief Evicts the oldest recorded answers beyond retention_bytes.
+    /// \brief Evicts the oldest recorded answers beyond the limits.
     void evict_excess_answers();
     void perform(configuration_relay_actions const& actions);
     [[nodiscard]] execution* find_claim(std::string const& claim);
@@ -177,6 +184,8 @@
     /// Data of the answers to claims, and of all answers.
     std::uint64_t recorded_bytes_ = 0;
     std::uint64_t held_bytes_ = 0;
+    /// Bytes of all executions beside the data of their answers.
+    std::uint64_t overhead_bytes_ = 0;
     /// Above it, no further data of an answer is recorded.
     std::uint64_t max_held_bytes_;
     bool draining_ = false;
--- a/src/agent/agent_claims.cpp
+++ b/src/agent/agent_claims.cpp
@@ -1,11 +1,21 @@
 #include <hornbeamweir/agent/agent_core.hpp>
 
+#include <algorithm>
+
 /// \file
 /// \brief Claims and recorded answers of the agent.
 
 namespace hornbeamweir
 {
 
+namespace
+{
+
+/// Attempts of one claim that are recognized if they arrive again.
+constexpr std::size_t max_attached_attempts = 64;
+
+} // namespace
+
 bool agent_core::admit_claim(peer const& from, wire::execute const& request)
 {
     guard_verdict const verdict =
@@ -29,9 +39,7 @@
     // execution does not answer.
     if (known != nullptr && request.claim_fence() <= known->fence)
     {
-        std::pair<std::string, std::uint32_t> attempt{
-            request.request_id(), request.attempt()};
-        if (known->attached_attempts.insert(std::move(attempt)).second)
+        if (remember_attempt(*known, request))
             attach(*known, from, request);
         return;
     }
@@ -49,11 +57,34 @@
         dismissed ? execution_state::not_run : execution_state::may_have_run);
 }
 
+// Frames of an earlier attempt that are sent twice do no harm: its entry has
+// received its answer.
+bool agent_core::remember_attempt(
+    execution& target, wire::execute const& request)
+{
+    std::pair<std::string, std::uint32_t> attempt{
+        request.request_id(), request.attempt()};
+    auto& known = target.attached_attempts;
+    if (std::find(known.begin(), known.end(), attempt) != known.end())
+        return false;
+    known.push_back(std::move(attempt));
+    if (known.size() > max_attached_attempts)
+        known.pop_front();
+    return true;
+}
+
+void agent_core::add_overhead(execution& target, std::uint64_t bytes) noexcept
+{
+    target.overhead_bytes += bytes;
+    overhead_bytes_ += bytes;
+}
+
 void agent_core::evict_excess_answers()
 {
     for (auto it = executions_.begin();
          it != executions_.end() &&
-         recorded_bytes_ > settings_.retention_bytes;)
+         (recorded_bytes_ > settings_.retention_bytes ||
+          overhead_bytes_ > max_held_bytes_ / 2);)
     {
         execution const& run = it->second;
         if (run.running || !run.streams.empty() || run.claim.empty())
--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -295,6 +295,7 @@
 {
     execution const& run = it->second;
     held_bytes_ -= run.answer.data.size();
+    overhead_bytes_ -= run.overhead_bytes;
     if (!run.claim.empty())
     {
         recorded_bytes_ -= run.answer.data.size();
@@ -314,6 +315,11 @@
     out["running"] = running_calls();
     out["recorded_bytes"] = recorded_bytes_;
     out["held_bytes"] = held_bytes_;
+    out["overhead_bytes"] = overhead_bytes_;
+    std::uint64_t attempts = 0;
+    for (auto it = executions_.begin(); it != executions_.end(); ++it)
+        attempts += it->second.attached_attempts.size();
+    out["tracked_attempts"] = attempts;
     return out;
 }
 
--- a/src/agent/agent_execution.cpp
+++ b/src/agent/agent_execution.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t max_uncredited_bytes = 4 * 1024 * 1024;
 /// Bytes that a call may read beyond what is recorded of its response.
 constexpr std::size_t recording_window = 64 * 1024;
+/// What an execution needs beside its answer and the ids of its attempts.
+constexpr std::size_t execution_bytes = 1024;
 
 http_request_message to_message(wire::execute const& request)
 {
@@ -161,10 +163,11 @@
     run.request_id = request.request_id();
     run.fence = request.claim_fence();
     run.idempotent = request.idempotent();
+    add_overhead(run, execution_bytes + run.request_id.size());
     if (!run.claim.empty())
     {
         claims_[run.claim] = call;
-        run.attached_attempts.emplace(run.request_id, request.attempt());
+        static_cast<void>(remember_attempt(run, request));
         guard_.mark_executed(run.claim, run.fence);
     }
     start_call action;
@@ -314,6 +317,8 @@
     if (run == nullptr || !run->running)
         return;
     run->answer.status = status;
+    for (header_field const& it : headers)
+        add_overhead(*run, it.name.size() + it.value.size());
     run->answer.headers = std::move(headers);
     run->answer.has_head = true;
     send_ready_frames(*run);
--- a/test/idempotency/agent_claims_test.cpp
+++ b/test/idempotency/agent_claims_test.cpp
@@ -88,6 +88,8 @@
         agent_settings out;
         // Room for one answer of finish(), but not for two.
         out.retention_bytes = 150;
+        // The smallest machine that settings permit.
+        out.limits.memory_mb = 32;
         return out;
     }
 
@@ -174,6 +176,38 @@
     CHECK(may_have_run(it.execute({"r2", "c1", 5})));
 }
 
+// Guards against answers whose headers need more memory than there is, as they
+// are not part of the data.
+TEST_CASE("answers with large headers are evicted, the oldest first")
+{
+    constexpr call_number answers = 400;
+    constexpr std::size_t header_size = 32 * 1024;
+    agent_fixture it;
+    for (call_number call = 1; call <= answers; ++call)
+    {
+        std::string const name = std::to_string(call);
+        CHECK(it.execute({"r" + name, "c" + name, call}).calls == 1);
+        it.core().on_call_head(
+            call, 200, {{"X-Field", std::string(header_size, 'h')}});
+        it.core().on_call_ended(call, noon);
+        static_cast<void>(it.take_outcome());
+    }
+    CHECK(may_have_run(it.execute({"again", "c1", 1})));
+    CHECK(it.execute({"again", "c400", answers}).frames > 1);
+}
+
+// Guards against a key that is repeated without end.
+TEST_CASE("attempts that were answered from a record are not kept for ever")
+{
+    constexpr int repeats = 100'000;
+    agent_fixture it;
+    CHECK(it.execute({"r", "c", 5}).calls == 1);
+    it.finish(1);
+    for (int n = 0; n < repeats; ++n)
+        CHECK(it.execute({std::to_string(n), "c", 5}).frames > 1);
+    CHECK(it.core().status().at("tracked_attempts").as_uint64() <= 64);
+}
+
 TEST_CASE("an answer is kept for the retention period")
 {
     // One hour by default.
