--- a/include/hornbeamweir/http/memory_budget.hpp
+++ b/include/hornbeamweir/http/memory_budget.hpp
@@ -32,13 +32,11 @@
     void replace(std::size_t before, std::size_t after) noexcept;
 
     [[nodiscard]] std::size_t used() const noexcept { return used_; }
-    [[nodiscard]] std::size_t peak() const noexcept { return peak_; }
     [[nodiscard]] std::size_t limit() const noexcept { return limit_; }
 
 private:
     std::size_t limit_;
     std::size_t used_ = 0;
-    std::size_t peak_ = 0;
 };
 
 /// \brief The bytes that one connection holds, counted in a budget as long as
--- a/src/http/memory_budget.cpp
+++ b/src/http/memory_budget.cpp
@@ -27,7 +27,6 @@
 void memory_budget::replace(std::size_t before, std::size_t after) noexcept
 {
     used_ += after - before;
-    peak_ = std::max(peak_, used_);
 }
 
 void memory_charge::set(std::size_t bytes) noexcept
