Orders to ranks use connections of their own

Cause: orders shared kept connections with reports, and an answer to an order does not say to which order it belongs. Each order now has a connection that closes with its answer; a late copy finds no reader. Weighed: a correlation header, which ranks are not known to echo for orders; waiting before a connection is used again, for which no bound of the delay is stated.

Reports and counts still share kept connections.

--- a/src/daemon/rank_client.cpp
+++ b/src/daemon/rank_client.cpp
@@ -76,13 +76,15 @@
 rank_client::rank_client(
     boost::asio::io_context& context, rank_codec const& codec)
     : codec_{codec}
-    , pool_{context, max_idle_connections}
+    , readers_{context, max_idle_connections}
+    , orders_{context, 0}
 {
 }
 
 rank_client::~rank_client() = default;
 
 void rank_client::call(
+    connection_pool& connections,
     std::string const& address,
     http_request_message request,
     duration timeout,
@@ -120,7 +122,7 @@
     options.connect_timeout = connect_timeout;
     options.timeout = timeout;
     options.max_body_bytes = max_response_bytes;
-    it.call = pool_.call(
+    it.call = connections.call(
         *server, std::move(request), std::move(options), std::move(handlers));
 }
 
@@ -128,6 +130,7 @@
     std::string const& address, handler<rank_state> done)
 {
     call(
+        readers_,
         address,
         codec_.report_request(),
         report_timeout,
@@ -144,6 +147,7 @@
     std::string const& address, handler<activation_counts> done)
 {
     call(
+        readers_,
         address,
         codec_.counts_request(),
         report_timeout,
@@ -160,6 +164,7 @@
     std::string const& address, std::uint32_t rank, handler<rank_experts> done)
 {
     call(
+        readers_,
         address,
         codec_.experts_request(),
         report_timeout,
@@ -180,6 +185,7 @@
     handler<unsigned> done)
 {
     call(
+        orders_,
         address,
         codec_.order_request(order),
         order_timeout(order.operation, location),
