--- a/include/hornbeamweir/agent/agent_core.hpp
+++ b/include/hornbeamweir/agent/agent_core.hpp
@@ -68,6 +68,9 @@
     }
 
 private:
+    /// Id of a request, and number of its attempt.
+    using attempt_id = std::pair<std::string, std::uint32_t>;
+
     /// A call to the backend server, and the answer to its attempts.
     struct execution
     {
@@ -84,7 +87,7 @@
         /// One per attached attempt whose answer is not yet complete.
         std::list<answer_stream> streams;
         /// The latest attempts that were attached; duplicates are not answered.
-        std::deque<std::pair<std::string, std::uint32_t>> attached_attempts;
+        std::deque<attempt_id> attached_attempts;
         /// Bytes of the record beside the data of the answer.
         std::uint64_t overhead_bytes = 0;
         time_point ended_at{};
--- a/src/agent/agent_claims.cpp
+++ b/src/agent/agent_claims.cpp
@@ -62,9 +62,8 @@
 bool agent_core::remember_attempt(
     execution& target, wire::execute const& request)
 {
-    std::pair<std::string, std::uint32_t> attempt{
-        request.request_id(), request.attempt()};
-    auto& known = target.attached_attempts;
+    attempt_id attempt{request.request_id(), request.attempt()};
+    std::deque<attempt_id>& known = target.attached_attempts;
     if (std::find(known.begin(), known.end(), attempt) != known.end())
         return false;
     known.push_back(std::move(attempt));
