The line about suppressed log lines counts as one

Not load: the line that says how many were suppressed was written beside the limit, once in each second that had any.

log.lines_per_second is the maximum of all lines, so it counts now.

--- a/src/telemetry/console_log.cpp
+++ b/src/telemetry/console_log.cpp
@@ -82,6 +82,7 @@
             event ev{"log_lines_suppressed"};
             ev.with("lines", suppressed_);
             write_record(severity::warning, process_, ev.line());
+            written_ = 1;
             suppressed_ = 0;
         }
     }
