A stalled reader of the log does not block the process

Lines are dropped while the output accepts none, but the line that tells their number was written in the next second without that check, and would wait for the reader. It waits for an output that accepts it now.

--- a/src/telemetry/console_log.cpp
+++ b/src/telemetry/console_log.cpp
@@ -77,7 +77,7 @@
     {
         second_ = second;
         written_ = 0;
-        if (suppressed_ > 0)
+        if (suppressed_ > 0 && output_ready())
         {
             event ev{"log_lines_suppressed"};
             ev.with("lines", suppressed_);
