--- a/src/daemon/rank_client.cpp
+++ b/src/daemon/rank_client.cpp
@@ -76,15 +76,13 @@
 rank_client::rank_client(
     boost::asio::io_context& context, rank_codec const& codec)
     : codec_{codec}
-    , readers_{context, max_idle_connections}
-    , orders_{context, 0}
+    , pool_{context, max_idle_connections}
 {
 }
 
 rank_client::~rank_client() = default;
 
 void rank_client::call(
-    connection_pool& connections,
     std::string const& address,
     http_request_message request,
     duration timeout,
@@ -122,7 +120,7 @@
     options.connect_timeout = connect_timeout;
     options.timeout = timeout;
     options.max_body_bytes = max_response_bytes;
-    it.call = connections.call(
+    it.call = pool_.call(
         *server, std::move(request), std::move(options), std::move(handlers));
 }
 
@@ -130,7 +128,6 @@
     std::string const& address, handler<rank_state> done)
 {
     call(
-        readers_,
         address,
         codec_.report_request(),
         report_timeout,
@@ -147,7 +144,6 @@
     std::string const& address, handler<activation_counts> done)
 {
     call(
-        readers_,
         address,
         codec_.counts_request(),
         report_timeout,
@@ -164,7 +160,6 @@
     std::string const& address, std::uint32_t rank, handler<rank_experts> done)
 {
     call(
-        readers_,
         address,
         codec_.experts_request(),
         report_timeout,
@@ -185,7 +180,6 @@
     handler<unsigned> done)
 {
     call(
-        orders_,
         address,
         codec_.order_request(order),
         order_timeout(order.operation, location),
--- a/src/daemon/rank_client.hpp
+++ b/src/daemon/rank_client.hpp
@@ -57,17 +57,13 @@
         std::function<void(result<std::pair<unsigned, std::string>>)>;
 
     void call(
-        connection_pool& connections,
         std::string const& address,
         http_request_message request,
         duration timeout,
         response_handler done);
 
     rank_codec const& codec_;
-    connection_pool readers_;
-    /// Keeps no connections: answers to orders don't tell to which order they
-    /// belong.
-    connection_pool orders_;
+    connection_pool pool_;
     std::map<std::uint64_t, std::unique_ptr<pending_call>> pending_;
     std::uint64_t last_number_ = 0;
 };
