--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,5 +8,5 @@
     [ -e "$driver" ] || continue
     name=$(basename "$(dirname "$driver")")
     g++ -std=c++20 -O1 -g -Wall -Wextra -pthread -o "target/review-2/case-$name" \
-        "$driver" review/stage-2/stage.cpp -lboost_json
+        "$driver" review/stage-2/*.cpp -lboost_json
 done
--- a/review/stage-2/stage.cpp
+++ b/review/stage-2/stage.cpp
@@ -512,56 +512,46 @@
     }
 }
 
-entry::entry(
+program::program(
     std::string const& folder,
+    std::string const& role,
+    std::string const& name,
     std::string const& ip,
-    std::string const& store_address)
-    : callers_{free_address(ip)}
-    , readiness_{free_address(ip)}
+    std::string const& store_address,
+    values const& fields)
 {
-    std::ifstream in{"deploy/entry.yaml"};
+    std::ifstream in{"deploy/" + role + ".yaml"};
     std::ostringstream read;
     read << in.rdbuf();
     std::string text = std::move(read).str();
     std::string const peers = free_address(ip);
-    // Bounds and limits of the site tanabe-restock.
-    std::vector<std::pair<std::string, std::string>> const values{
-        {"{{nodeName}}", "edge-a-1"},
+    values all{
+        {"{{nodeName}}", name},
         {"{{zone}}", "a"},
-        {"{{listen.frontend}}", callers_},
-        {"{{listen.readiness}}", readiness_},
         {"{{internalPortRange.0}}", peers.substr(peers.rfind(':') + 1)},
         {"{{ip}}", ip},
-        {"{{platform.address}}", store_address},
-        {"{{bounds.revokeMs}}", "5000"},
-        {"{{bounds.graceS}}", "8"},
-        {"{{bounds.retryBudgetRatio}}", "0.2"},
-        {"{{bounds.retryAllowance}}", "94"},
-        {"{{bounds.retryWindowS}}", "10"},
-        {"{{limits.memoryMb}}", "260"},
-        {"{{limits.maxFds}}", "4100"}};
-    for (auto const& [name, value] : values)
-        replace_all(text, name, value);
-    std::string const file = folder + "/entry.yaml";
+        {"{{platform.address}}", store_address}};
+    all.insert(all.end(), fields.begin(), fields.end());
+    for (auto const& [field, value] : all)
+        replace_all(text, field, value);
+    std::string const file = folder + '/' + name + ".yaml";
     std::ofstream{file} << text;
-    std::string const log = folder + "/entry.log";
+    std::string const log = folder + '/' + name + ".log";
+    std::string const command = "target/platform/hornbeamweir-platform-" + role;
     pid_ = ::fork();
     if (pid_ != 0)
         return;
-    // The entry must not outlive a driver that was killed.
+    // The process must not outlive a driver that was killed.
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::setenv("HORNBEAMWEIR_NODE_FILE", file.c_str(), 1);
     bool const redirected = std::freopen(log.c_str(), "a", stdout) != nullptr &&
                             std::freopen(log.c_str(), "a", stderr) != nullptr;
     if (redirected)
-        ::execl(
-            "target/platform/hornbeamweir-platform-entry",
-            "target/platform/hornbeamweir-platform-entry",
-            nullptr);
+        ::execl(command.c_str(), command.c_str(), nullptr);
     ::_exit(127);
 }
 
-entry::~entry()
+program::~program()
 {
     if (ended_)
         return;
@@ -569,6 +559,47 @@
     ::waitpid(pid_, nullptr, 0);
 }
 
+void program::send_signal(int number) const
+{
+    ::kill(pid_, number);
+}
+
+bool program::wait_end(milliseconds limit)
+{
+    time_point const end = std::chrono::steady_clock::now() + limit;
+    while (!ended_ && std::chrono::steady_clock::now() < end)
+    {
+        ended_ = ::waitpid(pid_, nullptr, WNOHANG) == pid_;
+        std::this_thread::sleep_for(milliseconds{10});
+    }
+    return ended_;
+}
+
+// Bounds and limits of the site tanabe-restock.
+entry::entry(
+    std::string const& folder,
+    std::string const& ip,
+    std::string const& store_address)
+    : callers_{free_address(ip)}
+    , readiness_{free_address(ip)}
+    , process_{
+          folder,
+          "entry",
+          "edge-a-1",
+          ip,
+          store_address,
+          {{"{{listen.frontend}}", callers_},
+           {"{{listen.readiness}}", readiness_},
+           {"{{bounds.revokeMs}}", "5000"},
+           {"{{bounds.graceS}}", "8"},
+           {"{{bounds.retryBudgetRatio}}", "0.2"},
+           {"{{bounds.retryAllowance}}", "94"},
+           {"{{bounds.retryWindowS}}", "10"},
+           {"{{limits.memoryMb}}", "260"},
+           {"{{limits.maxFds}}", "4100"}}}
+{
+}
+
 bool entry::wait_ready()
 {
     constexpr int attempts = 200;
@@ -586,22 +617,6 @@
     return false;
 }
 
-void entry::send_signal(int number) const
-{
-    ::kill(pid_, number);
-}
-
-bool entry::wait_end(milliseconds limit)
-{
-    time_point const end = std::chrono::steady_clock::now() + limit;
-    while (!ended_ && std::chrono::steady_clock::now() < end)
-    {
-        ended_ = ::waitpid(pid_, nullptr, WNOHANG) == pid_;
-        std::this_thread::sleep_for(milliseconds{10});
-    }
-    return ended_;
-}
-
 void record::line(std::string const& text)
 {
     std::lock_guard const lock{mutex_};
--- a/review/stage-2/stage.hpp
+++ b/review/stage-2/stage.hpp
@@ -160,8 +160,37 @@
     server server_;
 };
 
-/// \brief The entry of the deploy file as a process, with the settings that its
+/// \brief A program of the deploy file as a process, with the settings that its
 /// template gives.
+class program
+{
+public:
+    using values = std::vector<std::pair<std::string, std::string>>;
+
+    /// \param role Name of the role in the deploy file.
+    /// \param fields Values of the template's fields that belong to the role.
+    program(
+        std::string const& folder,
+        std::string const& role,
+        std::string const& name,
+        std::string const& ip,
+        std::string const& store_address,
+        values const& fields);
+    program(program const&) = delete;
+    program& operator=(program const&) = delete;
+    /// Kills the process if it still runs.
+    ~program();
+
+    void send_signal(int number) const;
+    /// \returns Whether the process has ended by the time limit.
+    [[nodiscard]] bool wait_end(milliseconds limit);
+
+private:
+    pid_t pid_ = 0;
+    bool ended_ = false;
+};
+
+/// \brief An entry, as a process.
 class entry
 {
 public:
@@ -169,16 +198,14 @@
         std::string const& folder,
         std::string const& ip,
         std::string const& store_address);
-    entry(entry const&) = delete;
-    entry& operator=(entry const&) = delete;
-    /// Kills the process if it still runs.
-    ~entry();
 
     /// \brief Waits until it reports that it is ready.
     [[nodiscard]] bool wait_ready();
-    void send_signal(int number) const;
-    /// \returns Whether the process has ended by the time limit.
-    [[nodiscard]] bool wait_end(milliseconds limit);
+    void send_signal(int number) const { process_.send_signal(number); }
+    [[nodiscard]] bool wait_end(milliseconds limit)
+    {
+        return process_.wait_end(limit);
+    }
     [[nodiscard]] std::string const& callers() const noexcept
     {
         return callers_;
@@ -187,8 +214,7 @@
 private:
     std::string callers_;
     std::string readiness_;
-    pid_t pid_ = 0;
-    bool ended_ = false;
+    program process_;
 };
 
 /// \brief Writes lines with the time since its start to a file; thread-safe.
