Review: header fields of many callers end two entries

Cause: the memory of a request is counted by its bytes on the wire, but each header field takes many times its bytes in the lists that hold it.

--- a/review/stage-2/stage.cpp
+++ b/review/stage-2/stage.cpp
@@ -564,6 +564,15 @@
     ::kill(pid_, number);
 }
 
+std::size_t program::resident_bytes() const
+{
+    std::ifstream in{"/proc/" + std::to_string(pid_) + "/statm"};
+    std::size_t all = 0;
+    std::size_t resident = 0;
+    in >> all >> resident;
+    return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 bool program::wait_end(milliseconds limit)
 {
     time_point const end = std::chrono::steady_clock::now() + limit;
--- a/review/stage-2/stage.hpp
+++ b/review/stage-2/stage.hpp
@@ -182,6 +182,8 @@
     ~program();
 
     void send_signal(int number) const;
+    /// \returns The memory that the process has in use, in bytes.
+    [[nodiscard]] std::size_t resident_bytes() const;
     /// \returns Whether the process has ended by the time limit.
     [[nodiscard]] bool wait_end(milliseconds limit);
 
@@ -202,6 +204,10 @@
     /// \brief Waits until it reports that it is ready.
     [[nodiscard]] bool wait_ready();
     void send_signal(int number) const { process_.send_signal(number); }
+    [[nodiscard]] std::size_t resident_bytes() const
+    {
+        return process_.resident_bytes();
+    }
     [[nodiscard]] bool wait_end(milliseconds limit)
     {
         return process_.wait_end(limit);
