--- a/review/stage-2/stage.cpp
+++ b/review/stage-2/stage.cpp
@@ -584,11 +584,11 @@
     return ended_;
 }
 
-// Bounds and limits of the site tanabe-restock.
 entry::entry(
     std::string const& folder,
     std::string const& ip,
-    std::string const& store_address)
+    std::string const& store_address,
+    site const& on)
     : callers_{free_address(ip)}
     , readiness_{free_address(ip)}
     , process_{
@@ -602,10 +602,10 @@
            {"{{bounds.revokeMs}}", "5000"},
            {"{{bounds.graceS}}", "8"},
            {"{{bounds.retryBudgetRatio}}", "0.2"},
-           {"{{bounds.retryAllowance}}", "94"},
+           {"{{bounds.retryAllowance}}", on.retry_allowance},
            {"{{bounds.retryWindowS}}", "10"},
-           {"{{limits.memoryMb}}", "260"},
-           {"{{limits.maxFds}}", "4100"}}}
+           {"{{limits.memoryMb}}", on.memory_mb},
+           {"{{limits.maxFds}}", on.descriptors}}}
 {
 }
 
--- a/review/stage-2/stage.hpp
+++ b/review/stage-2/stage.hpp
@@ -192,6 +192,17 @@
     bool ended_ = false;
 };
 
+/// \brief The settings of entries that differ between the sites.
+struct site
+{
+    std::string retry_allowance;
+    std::string memory_mb;
+    std::string descriptors;
+};
+
+inline site const tanabe_restock{"94", "260", "4100"};
+inline site const kushiro_kiroku_grown{"128", "512", "8192"};
+
 /// \brief An entry, as a process.
 class entry
 {
@@ -199,7 +210,8 @@
     entry(
         std::string const& folder,
         std::string const& ip,
-        std::string const& store_address);
+        std::string const& store_address,
+        site const& on = tanabe_restock);
 
     /// \brief Waits until it reports that it is ready.
     [[nodiscard]] bool wait_ready();
